--- /dev/null
+++ b/src/ibiswick/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the implementation; nothing here is a public interface."""
--- /dev/null
+++ b/src/ibiswick/_internal/blackboard.py
@@ -0,0 +1,67 @@
+"""Hold the state that the controllers of a node share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import Generic, TypeVar
+
+from .records import BackendHealth, Endpoint, LeaseView, Phase, Refusal, Snapshot
+
+T = TypeVar("T")
+
+
+class Cell(Generic[T]):
+    """Hold one value and wake those who wait for its next change.
+
+    >>> cell = Cell(1)
+    >>> cell.set(2)
+    >>> (cell.value, cell.version)
+    (2, 1)
+    >>> cell.set(2)
+    >>> cell.version
+    1
+    """
+
+    __slots__ = ("_changed", "value", "version")
+
+    def __init__(self, value: T) -> None:
+        self.value = value
+        self.version = 0
+        self._changed: asyncio.Event | None = None
+
+    def set(self, value: T) -> None:
+        """Replace the value; an equal value wakes nobody."""
+        if value == self.value:
+            return
+        self.value = value
+        self.version += 1
+        if self._changed is not None:
+            self._changed.set()
+            self._changed = None
+
+    async def wait_change(self, version: int) -> T:
+        """Wait until the cell's version differs from the given one."""
+        while self.version == version:
+            if self._changed is None:
+                self._changed = asyncio.Event()
+            await self._changed.wait()
+        return self.value
+
+
+class Blackboard:
+    """Hold every cell of one node; docs/design.md names the writer of each."""
+
+    def __init__(self) -> None:
+        self.snapshot: Cell[Snapshot | None] = Cell(None)
+        self.endpoints: Cell[Mapping[str, tuple[Endpoint, ...]]] = Cell({})
+        self.phase: Cell[Phase] = Cell(Phase.STARTING)
+        self.backend: Cell[BackendHealth] = Cell(BackendHealth(True, "not observed yet"))
+        self.in_flight: Cell[int] = Cell(0)
+        self.refusal: Cell[Refusal | None] = Cell(None)
+        self.drain: Cell[bool] = Cell(False)
+        self.lease: Cell[LeaseView | None] = Cell(None)
+        # Set by control once the snapshot is at or above the floor; the data plane then serves.
+        self.floor_confirmed: Cell[bool] = Cell(False)
+        # Set by control once peers have had time to learn that this backend server leaves.
+        self.leave_announced: Cell[bool] = Cell(False)
--- /dev/null
+++ b/src/ibiswick/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the entry point of each console program."""
--- /dev/null
+++ b/src/ibiswick/_internal/errors.py
@@ -0,0 +1,109 @@
+"""Define every exception of ibiswick, each with a stable code.
+
+Codes appear in logs, in answers to callers and operators, and in the documentation.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar, NamedTuple
+
+
+class Problem(NamedTuple):
+    """Describe one fault in an input document."""
+
+    source: str
+    path: str
+    expected: str
+    found: str
+
+    def __str__(self) -> str:
+        return f"{self.source}: {self.path}: expected {self.expected}, found {self.found}"
+
+
+class IbiswickError(Exception):
+    """Serve as the base of all exceptions raised by ibiswick."""
+
+    code: ClassVar[str] = "internal"
+
+    @property
+    def detail(self) -> str:
+        """Return the message without the code."""
+        return str(self)
+
+
+class InvalidInputError(IbiswickError):
+    """Report every fault found in the input at once."""
+
+    code = "invalid-input"
+
+    def __init__(self, problems: list[Problem] | tuple[Problem, ...]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = tuple(problems)
+
+
+class SettingsError(InvalidInputError):
+    """Report faults in a settings file."""
+
+    code = "invalid-settings"
+
+
+class PlatformError(IbiswickError):
+    """Serve as the base of failures of the platform's object API."""
+
+    code = "platform"
+
+
+class PlatformUnavailableError(PlatformError):
+    """Report a call to the platform that certainly had no effect."""
+
+    code = "platform-unavailable"
+
+    def __init__(self, message: str, *, retry_after_s: float = 1.0) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class OutcomeUnknownError(PlatformError):
+    """Report a write to the platform that may or may not have taken effect."""
+
+    code = "platform-outcome-unknown"
+
+
+class ConflictError(PlatformError):
+    """Report a conditional write that lost to another writer."""
+
+    code = "conflict"
+
+    def __init__(self, message: str, *, current: int) -> None:
+        super().__init__(message)
+        self.current = current
+
+
+class SnapshotError(IbiswickError):
+    """Report a snapshot that a node refuses as a whole."""
+
+    code = "snapshot-refused"
+
+
+class DigestMismatchError(SnapshotError):
+    """Report a snapshot whose content differs from its digest."""
+
+    code = "digest-mismatch"
+
+
+class DanglingReferenceError(SnapshotError):
+    """Report a route to a service that the snapshot does not have."""
+
+    code = "dangling-reference"
+
+
+class BaseMismatchError(SnapshotError):
+    """Report a difference against a snapshot that the node does not hold."""
+
+    code = "base-mismatch"
+
+
+class MessageError(IbiswickError):
+    """Report a message of the wrong shape, size or protocol version."""
+
+    code = "invalid-message"
--- /dev/null
+++ b/src/ibiswick/_internal/records.py
@@ -0,0 +1,189 @@
+"""Define the data shared by several modules."""
+
+from __future__ import annotations
+
+from enum import IntEnum, StrEnum
+from typing import Literal, NamedTuple, TypedDict
+
+
+class ServicePolicy(TypedDict):
+    """Say how the backend servers of a service may be reached."""
+
+    preference: Literal["local-first", "any"]
+    slots: int
+    connections: int
+    queue_ms: int
+    slow_start_ms: int
+
+
+class Route(TypedDict):
+    """Map a host and a path prefix to a service. `host` may be "*"; no methods means all."""
+
+    id: str
+    host: str
+    prefix: str
+    methods: list[str]
+    service: str
+    idempotent: bool
+    kind: Literal["call", "upload"]
+    deadline_ms: int
+    retries: int
+    hedge_ms: int | None
+
+
+class Snapshot(NamedTuple):
+    """Hold the compiled configuration of one workspace."""
+
+    workspace: str
+    generation: int
+    digest: str
+    services: dict[str, ServicePolicy]
+    routes: tuple[Route, ...]
+
+
+class Refusal(NamedTuple):
+    """Tell why a node refused a snapshot."""
+
+    generation: int
+    code: str
+    detail: str
+
+
+class MemberState(IntEnum):
+    """State of a backend server as its node or its parent announces it."""
+
+    READY = 1
+    UNREADY = 2
+    LEAVING = 3
+    LOST = 4
+
+
+class Member(NamedTuple):
+    """Announce one backend server and its node."""
+
+    vm: str
+    workspace: str
+    service: str
+    region: str
+    availability_zone: str
+    host: str
+    peer_port: int
+    control_port: int
+    slots: int
+    incarnation: int
+    sequence: int
+    state: MemberState
+
+
+class Endpoint(NamedTuple):
+    """Name the peer port of a node whose backend server may take calls.
+
+    `ready` is the backend server's reported health and only a hint.
+    """
+
+    vm: str
+    incarnation: int
+    availability_zone: str
+    host: str
+    port: int
+    slots: int
+    ready: bool
+
+
+class Phase(StrEnum):
+    """Phase of a node's life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class BackendHealth(NamedTuple):
+    """State of the local backend server as its node observes it."""
+
+    ready: bool
+    reason: str
+
+
+class LeaseView(NamedTuple):
+    """Identify the zone-root lease that this node holds."""
+
+    index: int
+    epoch: int
+
+
+class NodeException(TypedDict):
+    """Name a node that does not have the newest generation, and why."""
+
+    vm: str
+    generation: int
+    code: str
+    detail: str
+
+
+class WorkspaceReport(TypedDict):
+    """Count the nodes of one workspace below one root by applied generation.
+
+    Keys of `generations` are decimal strings, because JSON has no integer keys.
+    """
+
+    total: int
+    generations: dict[str, int]
+    exceptions: list[NodeException]
+
+
+class RootReport(TypedDict):
+    """Report of one zone root, as kept at `status/<availability zone>/<vm>`."""
+
+    vm: str
+    availability_zone: str
+    index: int
+    epoch: int
+    head_generation: int
+    workspaces: dict[str, WorkspaceReport]
+
+
+class RecentChange(TypedDict):
+    """Name the snapshots that one generation changed (workspace to snapshot digest)."""
+
+    generation: int
+    change_id: str
+    snapshots: dict[str, str]
+
+
+class Head(TypedDict):
+    """Content of `live/head`, the one object that decides which configuration is accepted.
+
+    `recent` is ordered from the oldest generation to the newest.
+    """
+
+    generation: int
+    change: str
+    manifest: str
+    recent: list[RecentChange]
+
+
+class ManifestWorkspace(TypedDict):
+    """Entry of one workspace in a manifest."""
+
+    parameters: str
+    snapshot: str
+    generation: int
+
+
+class Manifest(TypedDict):
+    """List every template (name to digest) and workspace of one generation."""
+
+    templates: dict[str, str]
+    workspaces: dict[str, ManifestWorkspace]
+
+
+class Lease(TypedDict):
+    """Content of `leases/<availability zone>/<n>`."""
+
+    vm: str
+    host: str
+    control_port: int
+    region: str
+    epoch: int
--- /dev/null
+++ b/src/ibiswick/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Provide stand-ins for outside systems, for tests and demonstrations."""
