Name the unknown and missing keys of settings

The report quoted the whole document for an unknown key and cut it at 80 characters, so the key was not in it. The test for several faults at once failed on this before and passes now.

--- a/src/ibiswick/_internal/settings.py
+++ b/src/ibiswick/_internal/settings.py
@@ -127,7 +127,7 @@
     schema = msgspec.json.schema(struct)
     errors = jsonschema.Draft202012Validator(schema).iter_errors(msgspec.json.decode(raw))
     problems = [
-        Problem(source, error.json_path, _describe_rule(error), repr(error.instance)[:80])
+        Problem(source, error.json_path, _describe_rule(error), _describe_found(error))
         for error in sorted(errors, key=lambda error: error.json_path)
     ]
     return problems or [Problem(source, "$", "valid settings", str(first))]
@@ -141,6 +141,12 @@
     return f"{error.validator} {error.validator_value}"
 
 
+def _describe_found(error: Any) -> str:
+    if error.validator in ("additionalProperties", "required"):
+        return f"the keys {', '.join(sorted(error.instance))}"
+    return repr(error.instance)[:80]
+
+
 _structs: dict[type, type] = {}
 
 
