--- a/src/ibiswick/_internal/errors.py
+++ b/src/ibiswick/_internal/errors.py
@@ -107,3 +107,27 @@
     """Report a message of the wrong shape, size or protocol version."""
 
     code = "invalid-message"
+
+
+class ExchangeError(IbiswickError):
+    """Serve as the base of failures of one HTTP exchange."""
+
+    code = "exchange"
+
+
+class NotSentError(ExchangeError):
+    """Report an exchange of which not one byte was sent."""
+
+    code = "not-sent"
+
+
+class ResponseLostError(ExchangeError):
+    """Report an exchange that was sent, at least in part, and has no complete response."""
+
+    code = "response-lost"
+
+
+class ExchangeTimeoutError(ResponseLostError):
+    """Report an exchange that was sent and got no complete response in time."""
+
+    code = "response-timeout"
