--- /dev/null
+++ b/src/ibiswick/_internal/answers.py
@@ -0,0 +1,78 @@
+"""Build the responses that ibiswick itself makes, and pass on those of others."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .admission import format_retry_after
+from .blackboard import Blackboard
+from .errors import ResponseLostError
+from .heads import OUTCOME, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from .pool import ExchangeResponse, Headers
+from .records import Phase
+from .serving import AbortResponseError, Scope, Send, encode_problem
+
+
+class Answer(NamedTuple):
+    """Hold a complete response made by ibiswick."""
+
+    status: int
+    code: str
+    headers: Headers
+    body: bytes
+
+
+def build_answer(status: int, code: str, detail: str, headers: Headers | None = None) -> Answer:
+    """Build a response with a JSON body."""
+    body = encode_problem(code, detail)
+    own = [(b"content-type", b"application/json"), (b"content-length", b"%d" % len(body))]
+    return Answer(status, code, own + (headers or []), body)
+
+
+def build_not_run(detail: str, *, retry_after_s: float) -> Answer:
+    """Build the response to a call of which nothing reached a backend server."""
+    headers = [(OUTCOME, OUTCOME_NOT_RUN), (b"retry-after", format_retry_after(retry_after_s))]
+    return build_answer(503, "not-run", detail, headers)
+
+
+def build_unknown(detail: str, *, timed_out: bool) -> Answer:
+    """Build the response to a call that may have run."""
+    status = 504 if timed_out else 502
+    return build_answer(status, "outcome-unknown", detail, [(OUTCOME, OUTCOME_UNKNOWN)])
+
+
+async def send_answer(send: Send, answer: Answer, extra: Headers | None = None) -> None:
+    """Send a response made by ibiswick."""
+    headers = answer.headers + extra if extra else answer.headers
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    await send({"type": "http.response.body", "body": answer.body})
+
+
+async def pass_response(send: Send, response: ExchangeResponse, headers: Headers) -> None:
+    """Send a response on as it arrives; raise AbortResponseError when it breaks off."""
+    await send({"type": "http.response.start", "status": response.status, "headers": headers})
+    if response.complete:
+        await send({"type": "http.response.body", "body": response.take()})
+        return
+    try:
+        while part := await response.read():
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+    except ResponseLostError as error:
+        raise AbortResponseError(str(error)) from error
+    finally:
+        response.close()
+    await send({"type": "http.response.body", "body": b""})
+
+
+def build_closing_headers(board: Blackboard, scope: Scope) -> Headers:
+    """Return the header that ends a connection to a node that stops.
+
+    It is left out while a request body may still be arriving: closing a connection with unread
+    bytes resets it, and the response could be lost.
+    """
+    if board.phase.value not in (Phase.DRAINING, Phase.STOPPED):
+        return []
+    for name, _ in scope["headers"]:
+        if name in (b"content-length", b"transfer-encoding"):
+            return []
+    return [(b"connection", b"close")]
--- /dev/null
+++ b/src/ibiswick/_internal/balance.py
@@ -0,0 +1,208 @@
+"""Choose the endpoint of an attempt and judge endpoints by what was observed of them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .records import Endpoint, ServicePolicy
+
+# A reported load older than this says nothing about the present.
+LOAD_FRESH_S = 1.0
+LATENCY_WEIGHT = 0.2
+INITIAL_LATENCY_S = 0.005
+# Differences below this come from the measurement, not from the backend server.
+LATENCY_FLOOR_S = 0.001
+SLOW_START_MIN_WEIGHT = 0.1
+# Load per slot at which endpoints of other availability zones are considered as well.
+SPILL_LOAD = 1.0
+EJECT_AFTER_FAILURES = 3
+EJECT_BASE_S = 1.0
+EJECT_LIMIT_S = 30.0
+EJECT_MAX_SHARE = 0.4
+# A fault of health reports tends to hit many at once; below this share they are ignored.
+TRUSTED_READY_SHARE = 0.5
+
+
+class EndpointState:
+    """Hold what this node observed of one endpoint."""
+
+    __slots__ = (
+        "ejected_until",
+        "ejections",
+        "endpoint",
+        "failures",
+        "first_seen",
+        "in_flight",
+        "latency_s",
+        "load",
+        "load_at",
+    )
+
+    def __init__(self, endpoint: Endpoint, *, first_seen: float) -> None:
+        self.endpoint = endpoint
+        self.first_seen = first_seen
+        self.in_flight = 0
+        self.load = 0
+        self.load_at = -LOAD_FRESH_S
+        self.latency_s = INITIAL_LATENCY_S
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+
+
+class HealthChange(NamedTuple):
+    """Tell that an endpoint was ejected or readmitted, and why."""
+
+    event: str
+    endpoint: Endpoint
+    reason: str
+    period_s: float
+
+
+class Balancer:
+    """Choose among the endpoints of one service."""
+
+    def __init__(self, *, availability_zone: str) -> None:
+        self._availability_zone = availability_zone
+        self._states: dict[tuple[str, int], EndpointState] = {}
+        self._local: list[EndpointState] = []
+        self._remote: list[EndpointState] = []
+        self._ejected: list[EndpointState] = []
+        self._slots_limit = 1
+        self._slow_start_s = 0.0
+        self._local_first = True
+
+    @property
+    def states(self) -> tuple[EndpointState, ...]:
+        """Return the state of every endpoint."""
+        return tuple(self._states.values())
+
+    def update(self, endpoints: Iterable[Endpoint], policy: ServicePolicy, *, now: float) -> None:
+        """Replace the endpoints; what was observed of those that stay is kept.
+
+        A new incarnation is a new endpoint, so it starts slowly and without a past.
+        """
+        self._slots_limit = policy["slots"]
+        self._slow_start_s = policy["slow_start_ms"] / 1000
+        self._local_first = policy["preference"] == "local-first"
+        states = {}
+        for endpoint in endpoints:
+            key = (endpoint.vm, endpoint.incarnation)
+            state = self._states.get(key)
+            if state is None:
+                state = EndpointState(endpoint, first_seen=now)
+            state.endpoint = endpoint
+            states[key] = state
+        self._states = states
+        self._ejected = [state for state in self._ejected if self._knows(state)]
+        self._partition()
+
+    def _knows(self, state: EndpointState) -> bool:
+        endpoint = state.endpoint
+        return self._states.get((endpoint.vm, endpoint.incarnation)) is state
+
+    def _partition(self) -> None:
+        """Split the usable endpoints by availability zone; a distrusted hint is left out."""
+        active = [state for state in self._states.values() if state not in self._ejected]
+        ready = [state for state in active if state.endpoint.ready]
+        if len(ready) >= TRUSTED_READY_SHARE * len(active):
+            active = ready or active
+        zone = self._availability_zone
+        if self._local_first:
+            self._local = [s for s in active if s.endpoint.availability_zone == zone]
+            self._remote = [s for s in active if s.endpoint.availability_zone != zone]
+        else:
+            self._local, self._remote = active, []
+
+    def choose(
+        self, *, now: float, rng: random.Random, exclude: frozenset[EndpointState] = frozenset()
+    ) -> EndpointState | None:
+        """Choose an endpoint for the next attempt; one in `exclude` only if there is no other."""
+        chosen = self._pick(self._local, now, rng, exclude)
+        if chosen is None or self._load_per_slot(chosen, now) >= SPILL_LOAD:
+            remote = self._pick(self._remote, now, rng, exclude)
+            if chosen is None or (
+                remote is not None and self._score(remote, now) < self._score(chosen, now)
+            ):
+                chosen = remote
+        if chosen is not None or not exclude:
+            return chosen
+        return self.choose(now=now, rng=rng)
+
+    def _pick(
+        self,
+        states: list[EndpointState],
+        now: float,
+        rng: random.Random,
+        exclude: frozenset[EndpointState],
+    ) -> EndpointState | None:
+        if exclude:
+            states = [state for state in states if state not in exclude]
+        count = len(states)
+        if count < 2:
+            return states[0] if states else None
+        first = int(rng.random() * count)
+        second = int(rng.random() * (count - 1))
+        if second >= first:
+            second += 1
+        one, other = states[first], states[second]
+        return one if self._score(one, now) <= self._score(other, now) else other
+
+    def _load_per_slot(self, state: EndpointState, now: float) -> float:
+        load = state.in_flight
+        if now - state.load_at < LOAD_FRESH_S:
+            load += state.load
+        return load / max(1, min(state.endpoint.slots, self._slots_limit))
+
+    def _score(self, state: EndpointState, now: float) -> float:
+        slots = max(1, min(state.endpoint.slots, self._slots_limit))
+        # One more call is added, so that latency also counts between idle endpoints.
+        load = self._load_per_slot(state, now) + 1 / slots
+        weight = 1.0
+        if self._slow_start_s > 0:
+            age = (now - state.first_seen) / self._slow_start_s
+            weight = min(1.0, max(SLOW_START_MIN_WEIGHT, age))
+        return load * max(state.latency_s, LATENCY_FLOOR_S) / weight
+
+    def note_load(self, state: EndpointState, load: int, *, now: float) -> None:
+        """Keep the load that the endpoint's node reported."""
+        state.load = load
+        state.load_at = now
+
+    def note_success(self, state: EndpointState, *, latency_s: float) -> None:
+        """Note an answer of the backend server."""
+        state.latency_s += LATENCY_WEIGHT * (latency_s - state.latency_s)
+        state.failures = 0
+        state.ejections = 0
+
+    def note_failure(self, state: EndpointState, *, now: float, reason: str) -> HealthChange | None:
+        """Note a failed attempt; eject the endpoint after several in a row."""
+        state.failures += 1
+        if state.failures < EJECT_AFTER_FAILURES or state in self._ejected:
+            return None
+        if len(self._ejected) + 1 > EJECT_MAX_SHARE * len(self._states):
+            return None
+        if not self._knows(state):
+            return None
+        period_s = min(EJECT_LIMIT_S, EJECT_BASE_S * 2**state.ejections)
+        state.ejections += 1
+        state.ejected_until = now + period_s
+        self._ejected.append(state)
+        self._partition()
+        return HealthChange("ejected", state.endpoint, reason, period_s)
+
+    def readmit(self, *, now: float) -> list[HealthChange]:
+        """Readmit the endpoints whose period has passed.
+
+        One more failure ejects such an endpoint again, because its failures are not forgotten.
+        """
+        if not self._ejected:
+            return []
+        due = [state for state in self._ejected if state.ejected_until <= now]
+        if not due:
+            return []
+        self._ejected = [state for state in self._ejected if state.ejected_until > now]
+        self._partition()
+        return [HealthChange("readmitted", s.endpoint, "period-passed", 0.0) for s in due]
--- /dev/null
+++ b/src/ibiswick/_internal/dataplane.py
@@ -0,0 +1,306 @@
+"""Start the listeners of a node, watch its backend server, and drain."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any
+from urllib.parse import urlsplit
+
+import msgspec
+
+from .blackboard import Blackboard
+from .callcounts import CallCounts
+from .errors import ExchangeError, NotSentError
+from .inbound import Inbound
+from .logs import EventLog
+from .metrics import define_gauge, render_metrics
+from .outbound import Outbound
+from .pool import Limits, Pool, PoolFetch, Remote, Request
+from .records import BackendHealth, Phase
+from .serving import Listener, Receive, Scope, Send
+from .settings import NodeSettings
+from .tls import build_client_context, build_server_context, parse_identity
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+UNREADY_AFTER_FAILURES = 3
+PEER_IDLE_LIMIT_S = 30.0
+# Common HTTP servers close idle connections after 5 s.
+BACKEND_IDLE_LIMIT_S = 4.0
+PLATFORM_IDLE_LIMIT_S = 4.0
+# A node whose announcement can't be confirmed must still be able to stop.
+LEAVE_ANNOUNCE_LIMIT_S = 10.0
+
+_log = EventLog(component="dataplane")
+
+
+class BackendWatcher:
+    """Judge the local backend server by connections and by what its health endpoint says."""
+
+    def __init__(self, *, board: Blackboard) -> None:
+        self._board = board
+        self._failures = 0
+
+    def note_connect_failure(self, detail: str) -> None:
+        """Note that a connection could not be opened; several in a row make it unready."""
+        self._failures += 1
+        if self._failures >= UNREADY_AFTER_FAILURES:
+            self._set(BackendHealth(False, "connect-failed"), detail)
+
+    def note_connect_success(self) -> None:
+        """Note that the backend server answered a call."""
+        self._failures = 0
+        health = self._board.backend.value
+        if not health.ready and health.reason == "connect-failed":
+            self._set(BackendHealth(True, "answered"), "")
+
+    def note_probe(self, *, draining: bool) -> None:
+        """Note an answer of the health endpoint."""
+        self._failures = 0
+        if draining:
+            self._set(BackendHealth(False, "reports-draining"), "")
+        else:
+            self._set(BackendHealth(True, "answered"), "")
+
+    def _set(self, health: BackendHealth, detail: str) -> None:
+        before = self._board.backend.value
+        self._board.backend.set(health)
+        if health.ready and not before.ready:
+            _log.info("backend-ready", reason=health.reason)
+        elif not health.ready and health != before:
+            _log.warn("backend-unready", reason=health.reason, detail=detail)
+
+
+def is_draining(body: bytes) -> bool:
+    """Tell whether a health endpoint's body reports draining.
+
+    >>> is_draining(b'{"draining": true}'), is_draining(b"ok")
+    (True, False)
+    """
+    try:
+        value = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return False
+    return isinstance(value, dict) and value.get("draining") is True
+
+
+class DataPlane:
+    """Carry calls for one node."""
+
+    def __init__(self, *, settings: NodeSettings, board: Blackboard) -> None:
+        self._settings = settings
+        self._board = board
+        self._counts = CallCounts()
+        self._watcher = BackendWatcher(board=board)
+        self._tasks: list[asyncio.Task[None]] = []
+        tls = settings.tls
+        server_tls = build_server_context(tls) if tls else None
+        caller_tls = build_server_context(tls, require_client=False) if tls else None
+        client_tls = build_client_context(tls) if tls else None
+        self._peers = Pool(
+            idle_limit_s=PEER_IDLE_LIMIT_S,
+            ssl_context=client_tls,
+            check_certificate=self._check_server if tls else None,
+        )
+        self._backend = Pool(idle_limit_s=BACKEND_IDLE_LIMIT_S)
+        uses_tls = urlsplit(settings.platform.url).scheme == "https"
+        self._platform = Pool(
+            idle_limit_s=PLATFORM_IDLE_LIMIT_S, ssl_context=client_tls if uses_tls else None
+        )
+        self.fetch = PoolFetch(pool=self._platform, base_url=settings.platform.url)
+        self._backend_server = Remote(settings.backend_server.host, settings.backend_server.port)
+        self._outbound = Outbound(
+            workspace=settings.workspace,
+            availability_zone=settings.availability_zone,
+            board=board,
+            exchange=self._peers.exchange,
+            counts=self._counts,
+            upload_idle_s=settings.upload_idle_s,
+            rng=random.Random(),
+        )
+        self._inbound = Inbound(
+            workspace=settings.workspace,
+            service=settings.service,
+            slots=settings.slots,
+            backend_server=self._backend_server,
+            board=board,
+            exchange=self._backend.exchange,
+            counts=self._counts,
+            watcher=self._watcher,
+            upload_idle_s=settings.upload_idle_s,
+        )
+        self._caller = Listener(
+            application=self._outbound,
+            host=settings.caller.host,
+            port=settings.caller.port,
+            ssl_context=caller_tls,
+            on_rejected=self._note_rejected,
+        )
+        self._peer = Listener(
+            application=self._inbound,
+            host=settings.peer.host,
+            port=settings.peer.port,
+            ssl_context=server_tls,
+            check_client=self._check_client if tls else None,
+            on_rejected=self._note_rejected,
+        )
+        self._operations = Listener(
+            application=self._serve_operations,
+            host=settings.operations.host,
+            port=settings.operations.port,
+            ssl_context=caller_tls,
+        )
+
+    @property
+    def caller_port(self) -> int:
+        """Return the bound caller port."""
+        return self._caller.port
+
+    @property
+    def peer_port(self) -> int:
+        """Return the bound peer port."""
+        return self._peer.port
+
+    @property
+    def operations_port(self) -> int:
+        """Return the bound operations port."""
+        return self._operations.port
+
+    async def start(self) -> None:
+        """Bind the listeners and start the controllers; raise OSError."""
+        await self._peer.start()
+        await self._caller.start()
+        await self._operations.start()
+        _log.info(
+            "listening",
+            caller=self.caller_port,
+            peer=self.peer_port,
+            operations=self.operations_port,
+        )
+        self._tasks = [
+            asyncio.create_task(self._watch_backend()),
+            asyncio.create_task(self._follow_floor()),
+            asyncio.create_task(self._follow_drain()),
+        ]
+
+    async def stop(self) -> None:
+        """Close the listeners, then every connection; does not wait for calls in flight."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._set_phase(Phase.STOPPED)
+        await asyncio.gather(self._caller.stop(), self._peer.stop(), self._operations.stop())
+        for pool in (self._peers, self._backend, self._platform):
+            pool.close()
+
+    # Phase
+
+    def _set_phase(self, phase: Phase) -> None:
+        if self._board.phase.value is not phase:
+            self._board.phase.set(phase)
+            _log.info("phase-changed", phase=phase.value, in_flight=self._board.in_flight.value)
+
+    async def _follow_floor(self) -> None:
+        """Begin to serve once control has confirmed the floor."""
+        floor = self._board.floor_confirmed
+        while not floor.value:
+            await floor.wait_change(floor.version)
+        if self._board.phase.value is Phase.STARTING:
+            self._set_phase(Phase.SERVING)
+
+    async def _follow_drain(self) -> None:
+        """Drain on request: refuse new calls, finish those in flight, then stop."""
+        drain = self._board.drain
+        while not drain.value:
+            await drain.wait_change(drain.version)
+        self._set_phase(Phase.DRAINING)
+        if self._settings.control_enabled:
+            await self._wait_leave_announced()
+        in_flight = self._board.in_flight
+        while in_flight.value > 0:
+            await in_flight.wait_change(in_flight.version)
+        self._set_phase(Phase.STOPPED)
+
+    async def _wait_leave_announced(self) -> None:
+        announced = self._board.leave_announced
+        try:
+            async with asyncio.timeout(LEAVE_ANNOUNCE_LIMIT_S):
+                while not announced.value:
+                    await announced.wait_change(announced.version)
+        except TimeoutError:
+            _log.warn("leave-unconfirmed", waited_s=LEAVE_ANNOUNCE_LIMIT_S)
+
+    # Backend server
+
+    async def _watch_backend(self) -> None:
+        """Probe the backend server's health endpoint."""
+        host = self._settings.backend_server
+        request = Request(b"GET /health HTTP/1.1\r\nhost: %b\r\n\r\n" % host.host.encode())
+        while True:
+            await self._probe(request)
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _probe(self, request: Request) -> None:
+        limits = Limits(deadline=time.monotonic() + PROBE_TIMEOUT_S)
+        try:
+            response = await self._backend.exchange(self._backend_server, request, limits)
+            body = b""
+            while part := await response.read():
+                body += part
+        except NotSentError as error:
+            self._watcher.note_connect_failure(str(error))
+        except ExchangeError:
+            # A health endpoint that does not answer says little about calls.
+            return
+        else:
+            self._watcher.note_probe(draining=is_draining(body))
+
+    # Identity
+
+    def _check_client(self, certificate: dict[str, Any] | None) -> bool:
+        identity = parse_identity(certificate)
+        return identity is not None and identity.workspace == self._settings.workspace
+
+    def _check_server(self, certificate: dict[str, Any] | None, remote: Remote) -> bool:
+        identity = parse_identity(certificate)
+        return identity is not None and identity == (self._settings.workspace, remote.vm)
+
+    # Operations port
+
+    def _note_rejected(self, code: str) -> None:
+        self._counts.add("ibiswick_requests_rejected_total", "code", code)
+
+    async def _serve_operations(self, scope: Scope, receive: Receive, send: Send) -> None:
+        status, headers, body = self._answer_operations(scope["path"])
+        pairs = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+        pairs.append((b"content-length", b"%d" % len(body)))
+        await send({"type": "http.response.start", "status": status, "headers": pairs})
+        await send({"type": "http.response.body", "body": body})
+
+    def _answer_operations(self, path: str) -> tuple[int, dict[str, str], bytes]:
+        plain = {"content-type": "text/plain"}
+        if path == "/metrics":
+            self._export_metrics()
+            body, headers = render_metrics()
+            return 200, headers, body
+        if path == "/ready":
+            phase = self._board.phase.value
+            return 200 if phase is Phase.SERVING else 503, plain, phase.value.encode()
+        return 404, plain, b"not found"
+
+    def _export_metrics(self) -> None:
+        self._counts.export()
+        queue = self._inbound.queue
+        gauges = {
+            "ibiswick_calls_in_flight": ("Calls in flight.", self._board.in_flight.value),
+            "ibiswick_slots_busy": ("Slots of the backend server in use.", queue.busy),
+            "ibiswick_slots_queued": ("Calls that wait for a slot.", queue.queued),
+            "ibiswick_backend_ready": (
+                "1 while the backend server is ready.",
+                int(self._board.backend.value.ready),
+            ),
+        }
+        for name, (doc, value) in gauges.items():
+            define_gauge(name, doc).set({}, value)
--- /dev/null
+++ b/src/ibiswick/_internal/inbound.py
@@ -0,0 +1,308 @@
+"""Serve the peer port: give calls a slot of the local backend server and forward them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from .admission import Admitted, Queued, Refused, SlotQueue
+from .answers import (
+    Answer,
+    build_answer,
+    build_closing_headers,
+    build_not_run,
+    build_unknown,
+    pass_response,
+    send_answer,
+)
+from .blackboard import Blackboard
+from .bodies import MAX_REPLAY_BYTES, RequestBody
+from .callcounts import CallCounts
+from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from .heads import (
+    CALL,
+    DEADLINE,
+    LOAD,
+    OUTCOME,
+    OUTCOME_NOT_RUN,
+    RequestHead,
+    format_load,
+    read_request_head,
+    read_response_head,
+    write_framing,
+)
+from .logs import EventLog
+from .pool import Exchange, ExchangeResponse, Headers, Limits, Remote, Request
+from .records import Phase, Snapshot
+from .serving import AbortResponseError, Receive, Scope, Send
+
+ALIVE_WITHIN_S = 1.0
+RETRY_AFTER_DRAINING_S = 1.0
+RETRY_AFTER_CONNECT_S = 1.0
+# A shorter time left than this says nothing about the backend server when connecting fails.
+MIN_CONNECT_S = 0.05
+DEFAULT_QUEUE_S = 0.05
+DEFAULT_CONNECTIONS = 100
+
+_log = EventLog(component="inbound")
+
+
+class ConnectWatcher(Protocol):
+    """Learn whether the backend server accepts connections."""
+
+    def note_connect_failure(self, detail: str) -> None:
+        """Note that a connection could not be opened."""
+
+    def note_connect_success(self) -> None:
+        """Note that the backend server answered."""
+
+
+class Inbound:
+    """Serve the peer port as an ASGI application."""
+
+    def __init__(
+        self,
+        *,
+        workspace: str,
+        service: str,
+        slots: int,
+        backend_server: Remote,
+        board: Blackboard,
+        exchange: Exchange,
+        counts: CallCounts,
+        watcher: ConnectWatcher,
+        upload_idle_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._workspace = workspace.encode()
+        self._service_name = service
+        self._service = service.encode()
+        self._slots = slots
+        self._remote = backend_server
+        self._board = board
+        self._exchange = exchange
+        self._counts = counts
+        self._watcher = watcher
+        self._upload_idle_s = upload_idle_s
+        self._clock = clock
+        self._snapshot: Snapshot | None = None
+        self._connections = DEFAULT_CONNECTIONS
+        self._queue = SlotQueue(slots=slots, queue_s=DEFAULT_QUEUE_S)
+        self._waiting: dict[int, asyncio.Future[bool]] = {}
+
+    @property
+    def queue(self) -> SlotQueue:
+        """Return the slots and the calls that wait for one."""
+        return self._queue
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call of another node."""
+        if scope["type"] != "http":
+            return
+        head = read_request_head(scope["headers"])
+        own: Headers = [(CALL, head.call_id)]
+        refusal = self._check(head)
+        if refusal is not None:
+            self._counts.add("ibiswick_peer_calls_total", "result", refusal.code)
+            await send_answer(send, refusal, own + build_closing_headers(self._board, scope))
+            return
+        in_flight = self._board.in_flight
+        in_flight.set(in_flight.value + 1)
+        try:
+            await self._serve(scope, receive, send, head, own)
+        finally:
+            in_flight.set(in_flight.value - 1)
+
+    def _check(self, head: RequestHead) -> Answer | None:
+        """Return a refusal for a call that must not be served here."""
+        if head.workspace != self._workspace:
+            self._counts.add("ibiswick_refused_total", "reason", "workspace")
+            outcome = [(OUTCOME, OUTCOME_NOT_RUN)]
+            detail = "this node serves another workspace"
+            return build_answer(403, "wrong-workspace", detail, outcome)
+        if not head.call_id:
+            return build_answer(400, "malformed-request", "the call id is missing")
+        if head.trailers:
+            return build_answer(501, "trailers-unsupported", "trailers are not supported")
+        if head.service and head.service != self._service:
+            self._counts.add("ibiswick_refused_total", "reason", "service")
+            detail = "this node serves another service"
+            return build_not_run(detail, retry_after_s=RETRY_AFTER_DRAINING_S)
+        if self._board.phase.value in (Phase.DRAINING, Phase.STOPPED):
+            self._counts.add("ibiswick_refused_total", "reason", "draining")
+            return build_not_run("this node drains", retry_after_s=RETRY_AFTER_DRAINING_S)
+        return None
+
+    async def _serve(
+        self, scope: Scope, receive: Receive, send: Send, head: RequestHead, own: Headers
+    ) -> None:
+        self._refresh()
+        arrived = self._clock()
+        deadline = None if head.deadline_ms is None else arrived + head.deadline_ms / 1000
+        refused = await self._acquire(arrived, deadline)
+        if refused is not None:
+            self._counts.add("ibiswick_refused_total", "reason", refused.reason)
+            self._counts.add("ibiswick_peer_calls_total", "result", "not-run")
+            detail = f"no free slot: {refused.reason}"
+            answer = build_not_run(detail, retry_after_s=refused.retry_after_s)
+            await send_answer(send, answer, self._add_load(own))
+            return
+        started = self._clock()
+        reached = False
+        try:
+            reached = await self._forward(scope, receive, send, head, own, deadline)
+        finally:
+            now = self._clock()
+            self._grant(self._queue.release(now=now, duration_s=now - started if reached else None))
+
+    def _refresh(self) -> None:
+        """Take over the policy of a new snapshot; the VM's own slots remain the upper limit."""
+        snapshot = self._board.snapshot.value
+        if snapshot is self._snapshot or snapshot is None:
+            return
+        self._snapshot = snapshot
+        policy = snapshot.services.get(self._service_name)
+        if policy is not None:
+            self._queue.slots = min(self._slots, policy["slots"])
+            self._queue.queue_s = policy["queue_ms"] / 1000
+            # Every slot needs a connection, so that waiting for one is never a reason to refuse.
+            self._connections = max(policy["connections"], self._queue.slots)
+            self._grant(self._queue.admit(now=self._clock()))
+
+    # Slots
+
+    async def _acquire(self, now: float, deadline: float | None) -> Refused | None:
+        """Wait for a slot; return None once there is one."""
+        decision = self._queue.offer(now=now, deadline=deadline)
+        if isinstance(decision, Admitted):
+            return None
+        if isinstance(decision, Refused):
+            return decision
+        return await self._wait_slot(decision, now)
+
+    async def _wait_slot(self, queued: Queued, now: float) -> Refused | None:
+        loop = asyncio.get_running_loop()
+        granted = loop.create_future()
+        self._waiting[queued.ticket] = granted
+        timer = loop.call_later(queued.until - now, _resolve, granted)
+        try:
+            await granted
+        except asyncio.CancelledError:
+            self._give_up(queued.ticket)
+            raise
+        finally:
+            timer.cancel()
+            self._waiting.pop(queued.ticket, None)
+        if self._queue.withdraw(queued.ticket) or not granted.result():
+            return Refused("queue-time", self._queue.estimate_wait())
+        return None
+
+    def _give_up(self, ticket: int) -> None:
+        """Leave the queue; a slot that was granted in the meantime goes to the next call."""
+        waiting = self._waiting.pop(ticket, None)
+        if self._queue.withdraw(ticket):
+            return
+        if waiting is not None and waiting.done() and not waiting.cancelled() and waiting.result():
+            self._grant(self._queue.release(now=self._clock()))
+
+    def _grant(self, tickets: list[int]) -> None:
+        for ticket in tickets:
+            waiting = self._waiting[ticket]
+            waiting.set_result(True)
+
+    # Forwarding
+
+    async def _forward(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        head: RequestHead,
+        own: Headers,
+        deadline: float | None,
+    ) -> bool:
+        """Forward a call; return whether the backend server answered it."""
+        body = RequestBody(receive)
+        if head.expects_continue:
+            # The other node sends the body once it is read, which is when there is a connection.
+            body.whole = False
+        elif (head.chunked or head.length) and not await self._read_start(body, deadline):
+            detail = "the body did not arrive in time"
+            answer = build_not_run(detail, retry_after_s=RETRY_AFTER_CONNECT_S)
+            await send_answer(send, answer, self._add_load(own))
+            return False
+        limits = Limits(
+            deadline,
+            None,
+            self._upload_idle_s if deadline is None else None,
+            ALIVE_WITHIN_S,
+            None,
+            self._connections,
+        )
+        request = self._build_request(scope, head, body, deadline)
+        try:
+            response = await self._exchange(self._remote, request, limits)
+        except NotSentError as error:
+            if deadline is None or deadline - self._clock() > MIN_CONNECT_S:
+                self._watcher.note_connect_failure(str(error))
+            answer = build_not_run(str(error), retry_after_s=RETRY_AFTER_CONNECT_S)
+        except ExchangeTimeoutError as error:
+            answer = build_unknown(str(error), timed_out=True)
+        except ResponseLostError as error:
+            answer = build_unknown(str(error), timed_out=False)
+        else:
+            await self._pass(response, send, own)
+            return True
+        self._counts.add("ibiswick_peer_calls_total", "result", answer.code)
+        await send_answer(send, answer, self._add_load(own))
+        return answer.status == 504
+
+    async def _read_start(self, body: RequestBody, deadline: float | None) -> bool:
+        """Read a body up to the size that is sent at once; return False when it is late."""
+        limit_s = self._upload_idle_s if deadline is None else deadline - self._clock()
+        try:
+            async with asyncio.timeout(limit_s):
+                await body.read_start(limit=MAX_REPLAY_BYTES)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _pass(self, response: ExchangeResponse, send: Send, own: Headers) -> None:
+        self._watcher.note_connect_success()
+        passed = read_response_head(response.headers, response.status)
+        headers = passed.headers + self._add_load(own)
+        try:
+            await pass_response(send, response, headers)
+        except AbortResponseError:
+            self._counts.add("ibiswick_peer_calls_total", "result", "cut-off")
+            raise
+        self._counts.add("ibiswick_peer_calls_total", "result", "answered")
+
+    def _add_load(self, own: Headers) -> Headers:
+        queue = self._queue
+        return [*own, (LOAD, format_load(queue.busy, queue.queued, queue.slots))]
+
+    def _build_request(
+        self, scope: Scope, head: RequestHead, body: RequestBody, deadline: float | None
+    ) -> Request:
+        method = scope["method"]
+        lines = [method.encode(), b" ", scope["raw_path"]]
+        if scope["query_string"]:
+            lines += (b"?", scope["query_string"])
+        lines += (b" HTTP/1.1\r\n", head.passed)
+        if deadline is not None:
+            remaining_ms = max(1, int((deadline - self._clock()) * 1000))
+            lines += (DEADLINE, b": ", b"%d\r\n" % remaining_ms)
+        lines += (write_framing(head, body), b"\r\n")
+        is_head = method == "HEAD"
+        if body.whole:
+            return Request(b"".join(lines), body.start, is_head=is_head)
+        return Request(b"".join(lines), stream=body.stream(), chunked=head.chunked, is_head=is_head)
+
+
+def _resolve(granted: asyncio.Future[bool]) -> None:
+    """End the wait of a call that got no slot in time."""
+    if not granted.done():
+        granted.set_result(False)
--- /dev/null
+++ b/src/ibiswick/_internal/pool.py
@@ -0,0 +1,753 @@
+"""Keep HTTP/1.1 connections to other nodes and to the local backend server.
+
+A connection carries one exchange at a time. It is reused only after an exchange that ended
+completely and in order; after a timeout, a cancellation, a mismatched call id or bytes that belong
+to no exchange it is closed, because a late response must never reach another call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ssl
+import time
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from typing import Any, NamedTuple, Protocol
+from urllib.parse import urlsplit
+
+import httptools
+
+from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+
+CONNECT_TIMEOUT_S = 0.3
+DEFAULT_CONNECTIONS = 128
+# Bytes of a response that may wait for their reader before the connection stops reading.
+RESPONSE_HIGH_WATER_BYTES = 256 * 1024
+MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+MAX_FETCH_BODY_BYTES = 64 * 1024 * 1024
+CONTINUE_STATUS = 100
+SWEEP_INTERVAL_S = 1.0
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ConnectionsBusyError(NotSentError):
+    """Report that every allowed connection to an address was in use."""
+
+    code = "connections-busy"
+
+
+class Remote(NamedTuple):
+    """Locate a server; `vm` is the name its certificate must carry, if any."""
+
+    host: str
+    port: int
+    vm: str = ""
+
+
+class Request(NamedTuple):
+    """Hold a request; `head` ends with the empty line and announces the body's framing.
+
+    `body` is sent with the head, already framed. `stream` follows it part by part; with
+    `await_continue` it is not touched before the server has answered 100 (Continue).
+    """
+
+    head: bytes
+    body: bytes = b""
+    stream: AsyncIterator[bytes] | None = None
+    chunked: bool = False
+    is_head: bool = False
+    await_continue: bool = False
+
+
+class Limits(NamedTuple):
+    """Limit one exchange.
+
+    `deadline` is in monotonic seconds; the head of the response is due by `head_deadline` if that
+    is given. With `idle_s` the exchange fails after that many seconds without a byte in either
+    direction. `alive_within_s` allows only connections that received bytes within that time, or
+    new ones. `call_id` must come back in the response.
+    """
+
+    deadline: float | None
+    head_deadline: float | None = None
+    idle_s: float | None = None
+    alive_within_s: float | None = None
+    call_id: bytes | None = None
+    connections: int = DEFAULT_CONNECTIONS
+
+
+class ExchangeResponse(Protocol):
+    """Read the response of one exchange."""
+
+    status: int
+    headers: Headers
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether the whole body has arrived."""
+
+    async def read(self) -> bytes:
+        """Return the next part of the body, or nothing at its end; raise ResponseLostError."""
+
+    def take(self) -> bytes:
+        """Return what has arrived of the body, without waiting."""
+
+    def close(self) -> None:
+        """Give up the rest of the body, which cancels the exchange."""
+
+
+class Exchange(Protocol):
+    """Send a request and return its response once the head has arrived."""
+
+    async def __call__(self, remote: Remote, request: Request, limits: Limits) -> ExchangeResponse:
+        """Raise NotSentError, ResponseLostError or ExchangeTimeoutError."""
+
+
+class Response:
+    """Collect the response of one exchange."""
+
+    __slots__ = (
+        "_connection",
+        "_parts",
+        "_size",
+        "_waiter",
+        "complete",
+        "error",
+        "has_head",
+        "headers",
+        "status",
+    )
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self.complete = False
+        self.has_head = False
+        self.error: ResponseLostError | None = None
+        self.status = 0
+        self.headers: Headers = []
+
+    def add(self, part: bytes) -> None:
+        """Keep a part of the body and stop the sender when the reader is slow."""
+        self._parts.append(part)
+        self._size += len(part)
+        if self._size > RESPONSE_HIGH_WATER_BYTES:
+            self._connection.pause_reading()
+
+    def wake(self) -> None:
+        """Wake the reader."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def wait_head(self) -> None:
+        """Wait for the head; raise ResponseLostError when it will not come."""
+        while not self.has_head:
+            if self.error is not None:
+                raise self.error
+            await self._wait()
+
+    async def _wait(self) -> None:
+        self._waiter = self._connection.loop.create_future()
+        try:
+            await self._waiter
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        finally:
+            self._waiter = None
+
+    def take(self) -> bytes:
+        """Return what has arrived of the body, without waiting."""
+        parts = self._parts
+        if not parts:
+            return b""
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        parts.clear()
+        self._size = 0
+        self._connection.resume_reading()
+        return body
+
+    async def read(self) -> bytes:
+        """Return the next part of the body, or nothing at its end."""
+        while True:
+            if self._parts:
+                return self.take()
+            if self.complete:
+                return b""
+            if self.error is not None:
+                raise self.error
+            await self._wait()
+
+    def close(self) -> None:
+        """Give up the rest of the body, which cancels the exchange."""
+        if not self.complete:
+            self._connection.fail(ResponseLostError("the exchange was cancelled"))
+
+
+class Connection(asyncio.Protocol):
+    """Carry one exchange at a time over one connection."""
+
+    __slots__ = (
+        "_bucket",
+        "_call_id",
+        "_continued",
+        "_deadline",
+        "_idle_s",
+        "_is_head",
+        "_parser",
+        "_reading_paused",
+        "_response",
+        "_sender",
+        "_sent_at",
+        "_surplus",
+        "_timer",
+        "_transport",
+        "_writable",
+        "head_bytes",
+        "idle_since",
+        "loop",
+        "progress_at",
+        "received_at",
+    )
+
+    def __init__(self, bucket: Bucket, loop: asyncio.AbstractEventLoop) -> None:
+        self._bucket = bucket
+        self.loop = loop
+        self._parser: httptools.HttpResponseParser | None = None
+        self._transport: asyncio.Transport | None = None
+        self._response: Response | None = None
+        self._sender: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._call_id: bytes | None = None
+        self._continued: asyncio.Future[None] | None = None
+        self._deadline: float | None = None
+        self._idle_s: float | None = None
+        self._is_head = False
+        self._surplus = False
+        self._reading_paused = False
+        self._sent_at = 0.0
+        self.head_bytes = 0
+        self.received_at = 0.0
+        self.progress_at = 0.0
+        self.idle_since = 0.0
+
+    # Transport callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        self.received_at = time.monotonic()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._bucket.forget(self)
+        self.fail(ResponseLostError(f"the connection was lost: {exc or 'closed by the server'}"))
+        self._parser = None
+        self.resume_writing()
+
+    def pause_writing(self) -> None:
+        self._writable = self.loop.create_future()
+
+    def resume_writing(self) -> None:
+        self.progress_at = time.monotonic()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def data_received(self, data: bytes) -> None:
+        response = self._response
+        if response is None or self._parser is None:
+            # Nobody asked for these bytes; they would be taken for the next call's response.
+            self.abort()
+            return
+        self.received_at = self.progress_at = time.monotonic()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fail(ResponseLostError("the server switched protocols"))
+        except httptools.HttpParserError as error:
+            reason = error.__context__ or error
+            if not response.complete:
+                self.fail(ResponseLostError(f"malformed response: {reason}"))
+            self._surplus = True
+        if response.complete:
+            self._finish(response)
+        elif response.has_head:
+            response.wake()
+
+    def eof_received(self) -> None:
+        return None
+
+    # Parser callbacks
+
+    def on_message_begin(self) -> None:
+        response = self._response
+        if response is None or response.complete:
+            self._surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.head_bytes += len(name) + len(value)
+        if self.head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            raise ValueError("the response head is too large")
+        response = self._response
+        if response is None or response.complete or response.has_head:
+            # Trailers are not passed on.
+            return
+        response.headers.append((name.lower(), value.rstrip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        response, parser = self._response, self._parser
+        if response is None or parser is None or response.complete:
+            return
+        status = parser.get_status_code()
+        if status < 200:
+            return
+        if self._call_id is not None and (b"ibiswick-call", self._call_id) not in response.headers:
+            raise ValueError("the response belongs to another call")
+        if not self._is_head and status not in (204, 304) and not _has_length(response.headers):
+            # The end of such a body cannot be told from a lost connection.
+            raise ValueError("the response has no length")
+        response.status = status
+        response.has_head = True
+        if self._is_head:
+            # The parser would wait for the body that the length announces.
+            self._surplus = not parser.should_keep_alive() or self._surplus
+            response.complete = True
+
+    def on_body(self, body: bytes) -> None:
+        response = self._response
+        if response is None or response.complete:
+            self._surplus = True
+        else:
+            response.add(body)
+
+    def on_message_complete(self) -> None:
+        response, parser = self._response, self._parser
+        if response is None or parser is None or response.complete:
+            return
+        if not response.has_head:
+            # An interim response (1xx); the final one follows.
+            response.headers.clear()
+            self._note_interim(parser.get_status_code())
+            return
+        response.complete = True
+        if not parser.should_keep_alive():
+            self._surplus = True
+
+    def _note_interim(self, status: int) -> None:
+        continued = self._continued
+        if status == CONTINUE_STATUS and continued is not None and not continued.done():
+            continued.set_result(None)
+
+    # Exchange
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the connection can carry an exchange."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    async def run(self, request: Request, limits: Limits) -> Response:
+        """Send a request and return its response once the head has arrived."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise NotSentError("the connection was closed before the request")
+        self._parser = httptools.HttpResponseParser(self)
+        self._response = response = Response(self)
+        self._call_id = limits.call_id
+        self._is_head = request.is_head
+        self._surplus = False
+        self.head_bytes = 0
+        now = time.monotonic()
+        self._sent_at = self.progress_at = now
+        self._idle_s = limits.idle_s
+        if limits.idle_s is not None:
+            self._timer = self.loop.call_later(limits.idle_s, self._check_progress)
+        elif limits.deadline is not None:
+            self._deadline = limits.deadline
+            due = limits.deadline if limits.head_deadline is None else limits.head_deadline
+            self._timer = self.loop.call_later(max(0.0, due - now), self._check_deadline)
+        transport.write(request.head + request.body if request.body else request.head)
+        if request.stream is not None:
+            self._continued = self.loop.create_future() if request.await_continue else None
+            self._sender = self.loop.create_task(self._send(request.stream, request.chunked))
+        await response.wait_head()
+        return response
+
+    async def _send(self, stream: AsyncIterator[bytes], chunked: bool) -> None:
+        """Send a body as it comes, at the speed of the receiver."""
+        if self._continued is not None:
+            await self._continued
+        try:
+            async for part in stream:
+                if not part:
+                    continue
+                self.progress_at = time.monotonic()
+                if chunked:
+                    part = b"%x\r\n%b\r\n" % (len(part), part)
+                await self._write(part)
+            if chunked:
+                await self._write(b"0\r\n\r\n")
+        except Exception as error:
+            self.fail(ResponseLostError(f"the request body ended early: {error}"))
+            return
+        self._sender = None
+        if self._response is not None and self._response.complete:
+            self._finish(self._response)
+
+    async def _write(self, data: bytes) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise ConnectionError("the connection was closed")
+        transport.write(data)
+        if self._writable is not None:
+            await asyncio.shield(self._writable)
+
+    def _check_progress(self) -> None:
+        idle_s = self._idle_s or 0.0
+        left_s = self.progress_at + idle_s - time.monotonic()
+        if left_s > 0:
+            self._timer = self.loop.call_later(left_s, self._check_progress)
+        else:
+            self._expire()
+
+    def _check_deadline(self) -> None:
+        """Give a response that has begun the time up to the deadline of the whole call."""
+        response, deadline = self._response, self._deadline
+        if response is not None and response.has_head and deadline is not None:
+            left_s = deadline - time.monotonic()
+            if left_s > 0:
+                self._timer = self.loop.call_later(left_s, self._check_deadline)
+                return
+        self._expire()
+
+    def _expire(self) -> None:
+        self._timer = None
+        self.fail(ExchangeTimeoutError("no complete response in time"))
+        # A silent path tends to be silent for every connection that was opened over it.
+        self._bucket.close_silent(since=self._sent_at)
+
+    def _finish(self, response: Response) -> None:
+        """End a complete exchange and give the connection back if it is clean."""
+        self._cancel_timer()
+        sender, self._sender = self._sender, None
+        if sender is not None:
+            # The server answered before the whole body was sent, so the rest must not follow.
+            sender.cancel()
+            self._surplus = True
+        self._response = None
+        if self._surplus:
+            self.abort()
+        else:
+            self._bucket.release(self)
+        response.wake()
+
+    def fail(self, error: ResponseLostError) -> None:
+        """End the exchange with an error and close the connection."""
+        self._cancel_timer()
+        sender, self._sender = self._sender, None
+        if sender is not None and sender is not asyncio.current_task(self.loop):
+            sender.cancel()
+        response, self._response = self._response, None
+        if response is not None and not response.complete:
+            response.error = error
+            response.wake()
+        self.abort()
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._bucket.forget(self)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stop reading until the reader of the response catches up."""
+        if not self._reading_paused and self.usable and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._reading_paused:
+            self._reading_paused = False
+            self.progress_at = time.monotonic()
+            if self.usable and self._transport is not None:
+                self._transport.resume_reading()
+
+    def get_certificate(self) -> dict[str, Any] | None:
+        """Return the certificate of the server."""
+        if self._transport is None:
+            return None
+        return self._transport.get_extra_info("peercert")
+
+
+class Bucket:
+    """Hold the connections to one remote."""
+
+    __slots__ = ("_idle", "_open", "_waiting", "opening")
+
+    def __init__(self) -> None:
+        self._idle: list[Connection] = []
+        self._open: set[Connection] = set()
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self.opening = 0
+
+    @property
+    def size(self) -> int:
+        """Return the number of open connections and of those being opened."""
+        return len(self._open) + self.opening
+
+    @property
+    def idle(self) -> int:
+        """Return the number of connections without an exchange."""
+        return len(self._idle)
+
+    def add(self, connection: Connection) -> None:
+        """Count a new connection."""
+        self._open.add(connection)
+
+    def release(self, connection: Connection) -> None:
+        """Keep a clean connection for the next exchange."""
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
+        self.wake_waiter()
+
+    def forget(self, connection: Connection) -> None:
+        """Drop a closed connection."""
+        if connection in self._open:
+            self._open.discard(connection)
+            with contextlib.suppress(ValueError):
+                self._idle.remove(connection)
+            self.wake_waiter()
+
+    def wake_waiter(self) -> None:
+        """Wake the call that has waited longest for a connection."""
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def take(
+        self, *, now: float, idle_limit_s: float, alive_within_s: float | None
+    ) -> Connection | None:
+        """Return the connection used last, if it is fresh enough."""
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.usable or now - connection.idle_since > idle_limit_s:
+                self._idle.pop()
+                connection.abort()
+                continue
+            if alive_within_s is not None and now - connection.received_at > alive_within_s:
+                return None
+            return self._idle.pop()
+        return None
+
+    def close_oldest_idle(self) -> bool:
+        """Close one idle connection to make room for a new one."""
+        if not self._idle:
+            return False
+        self._idle[0].abort()
+        return True
+
+    def close_silent(self, *, since: float) -> None:
+        """Close the idle connections that have received nothing since a moment."""
+        for connection in [c for c in self._idle if c.received_at < since]:
+            connection.abort()
+
+    def close_expired(self, *, now: float, idle_limit_s: float) -> None:
+        """Close the connections that were idle too long."""
+        for connection in [c for c in self._idle if now - c.idle_since > idle_limit_s]:
+            connection.abort()
+
+    def close_all(self) -> None:
+        """Close every connection."""
+        for connection in list(self._open):
+            connection.abort()
+
+    async def wait_release(self, loop: asyncio.AbstractEventLoop, timeout_s: float) -> None:
+        """Wait until a connection is released or closed; raise TimeoutError."""
+        waiter = loop.create_future()
+        self._waiting.append(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+        except BaseException:
+            if waiter.done() and not waiter.cancelled():
+                self.wake_waiter()
+            raise
+
+
+class Pool:
+    """Exchange requests and responses over kept connections.
+
+    `idle_limit_s` must be shorter than the servers' keep-alive time, so that this side closes
+    first and no request meets a connection that the server is closing.
+    """
+
+    def __init__(
+        self,
+        *,
+        idle_limit_s: float,
+        ssl_context: ssl.SSLContext | None = None,
+        check_certificate: Callable[[dict[str, Any] | None, Remote], bool] | None = None,
+    ) -> None:
+        self._idle_limit_s = idle_limit_s
+        self._ssl = ssl_context
+        self._check_certificate = check_certificate
+        self._buckets: dict[Remote, Bucket] = {}
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    async def exchange(self, remote: Remote, request: Request, limits: Limits) -> Response:
+        """Send a request and return its response once the head has arrived."""
+        bucket = self._buckets.get(remote)
+        if bucket is None:
+            bucket = self._buckets[remote] = Bucket()
+        connection = bucket.take(
+            now=time.monotonic(),
+            idle_limit_s=self._idle_limit_s,
+            alive_within_s=limits.alive_within_s,
+        )
+        if connection is None:
+            connection = await self._open(remote, bucket, limits)
+        return await connection.run(request, limits)
+
+    async def _open(self, remote: Remote, bucket: Bucket, limits: Limits) -> Connection:
+        """Open a connection, or wait for one when there are as many as allowed."""
+        loop = asyncio.get_running_loop()
+        while bucket.size >= limits.connections and not bucket.close_oldest_idle():
+            timeout_s = _limit_wait(limits)
+            try:
+                await bucket.wait_release(loop, timeout_s)
+            except TimeoutError:
+                raise ConnectionsBusyError("every connection was in use") from None
+            connection = bucket.take(
+                now=time.monotonic(),
+                idle_limit_s=self._idle_limit_s,
+                alive_within_s=limits.alive_within_s,
+            )
+            if connection is not None:
+                return connection
+        return await self._connect(loop, remote, bucket, limits)
+
+    async def _connect(
+        self, loop: asyncio.AbstractEventLoop, remote: Remote, bucket: Bucket, limits: Limits
+    ) -> Connection:
+        if self._closed:
+            raise NotSentError("the pool is closed")
+        self._start_sweeper(loop)
+        connection = Connection(bucket, loop)
+        bucket.opening += 1
+        opened = False
+        try:
+            async with asyncio.timeout(min(CONNECT_TIMEOUT_S, _limit_wait(limits))):
+                await loop.create_connection(
+                    lambda: connection, remote.host, remote.port, ssl=self._ssl
+                )
+            opened = True
+        except TimeoutError:
+            raise NotSentError(f"connecting to {remote.host}:{remote.port} took too long") from None
+        except (OSError, ssl.SSLError) as error:
+            raise NotSentError(f"cannot connect to {remote.host}:{remote.port}: {error}") from error
+        finally:
+            bucket.opening -= 1
+            if opened:
+                bucket.add(connection)
+            else:
+                connection.abort()
+                bucket.wake_waiter()
+        check = self._check_certificate
+        if check is not None and not check(connection.get_certificate(), remote):
+            connection.abort()
+            raise NotSentError(f"{remote.host}:{remote.port} has the certificate of another node")
+        return connection
+
+    def _start_sweeper(self, loop: asyncio.AbstractEventLoop) -> None:
+        if self._sweeper is None:
+            self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep, loop)
+
+    def _sweep(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Close what has been idle too long and forget remotes without connections."""
+        self._sweeper = None
+        now = time.monotonic()
+        for remote, bucket in list(self._buckets.items()):
+            bucket.close_expired(now=now, idle_limit_s=self._idle_limit_s)
+            if bucket.size == 0:
+                del self._buckets[remote]
+        if self._buckets and not self._closed:
+            self._start_sweeper(loop)
+
+    def count_idle(self, remote: Remote) -> int:
+        """Return the number of connections to a remote that carry no exchange."""
+        bucket = self._buckets.get(remote)
+        return bucket.idle if bucket is not None else 0
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._closed = True
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            self._sweeper = None
+        for bucket in self._buckets.values():
+            bucket.close_all()
+
+
+def _limit_wait(limits: Limits) -> float:
+    if limits.deadline is None:
+        return limits.idle_s if limits.idle_s is not None else CONNECT_TIMEOUT_S
+    return max(0.0, limits.deadline - time.monotonic())
+
+
+def _has_length(headers: Headers) -> bool:
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
+
+
+class FetchResponse(NamedTuple):
+    """Hold the complete response to one request."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class PoolFetch:
+    """Send requests of a client to one server, such as the platform."""
+
+    def __init__(self, *, pool: Pool, base_url: str) -> None:
+        parts = urlsplit(base_url)
+        port = parts.port or (443 if parts.scheme == "https" else 80)
+        self._pool = pool
+        self._remote = Remote(parts.hostname or "", port)
+        self._prefix = parts.path.rstrip("/")
+        self._host = parts.netloc.rpartition("@")[2]
+
+    async def __call__(
+        self, method: str, target: str, headers: dict[str, str], body: bytes, timeout_s: float
+    ) -> FetchResponse:
+        """Return the complete response; raise NotSentError, ResponseLostError or its subclass."""
+        lines = [f"{method} {self._prefix}{target} HTTP/1.1", f"host: {self._host}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            lines.append(f"content-length: {len(body)}")
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        request = Request(head, body, is_head=method == "HEAD")
+        limits = Limits(deadline=time.monotonic() + timeout_s)
+        response = await self._pool.exchange(self._remote, request, limits)
+        parts = []
+        size = 0
+        while part := await response.read():
+            parts.append(part)
+            size += len(part)
+            if size > MAX_FETCH_BODY_BYTES:
+                response.close()
+                raise ResponseLostError("the response body is too large")
+        text = {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
+        return FetchResponse(response.status, text, b"".join(parts))
