--- a/src/ibiswick/_internal/balance.py
+++ b/src/ibiswick/_internal/balance.py
@@ -15,6 +15,8 @@
 # Differences below this come from the measurement, not from the backend server.
 LATENCY_FLOOR_S = 0.001
 SLOW_START_MIN_WEIGHT = 0.1
+# An endpoint that fails at once is always idle, so without a penalty it would attract every call.
+FAILURE_PENALTY_LIMIT = 8
 # Load per slot at which endpoints of other availability zones are considered as well.
 SPILL_LOAD = 1.0
 EJECT_AFTER_FAILURES = 3
@@ -164,7 +166,8 @@
         if self._slow_start_s > 0:
             age = (now - state.first_seen) / self._slow_start_s
             weight = min(1.0, max(SLOW_START_MIN_WEIGHT, age))
-        return load * max(state.latency_s, LATENCY_FLOOR_S) / weight
+        penalty = 1 + min(state.failures, FAILURE_PENALTY_LIMIT)
+        return load * max(state.latency_s, LATENCY_FLOOR_S) * penalty / weight
 
     def note_load(self, state: EndpointState, load: int, *, now: float) -> None:
         """Keep the load that the endpoint's node reported."""
--- a/src/ibiswick/_internal/dataplane.py
+++ b/src/ibiswick/_internal/dataplane.py
@@ -23,6 +23,7 @@
 from .settings import NodeSettings
 from .tls import build_client_context, build_server_context, parse_identity
 
+METRICS_FORMAT = "text/plain"
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 1.0
 UNREADY_AFTER_FAILURES = 3
@@ -285,7 +286,7 @@
         plain = {"content-type": "text/plain"}
         if path == "/metrics":
             self._export_metrics()
-            body, headers = render_metrics()
+            body, headers = render_metrics(METRICS_FORMAT)
             return 200, headers, body
         if path == "/ready":
             phase = self._board.phase.value
--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -201,10 +201,10 @@
 
 
 async def request(
-    loop: asyncio.AbstractEventLoop, port: int, *parts: bytes, pause_s: float = 0.0
+    loop: asyncio.AbstractEventLoop, port: int, *parts: bytes, pause_s: float = 0.0, tls: Any = None
 ) -> Client:
     """Send the parts of a request over a new connection and wait for the end."""
-    _, client = await loop.create_connection(lambda: Client(loop), "127.0.0.1", port)
+    _, client = await loop.create_connection(lambda: Client(loop), "127.0.0.1", port, ssl=tls)
     for part in parts:
         client.transport.write(part)
         if pause_s:
--- /dev/null
+++ b/tests/test_call_sockets.py
@@ -0,0 +1,572 @@
+"""Check the call path over real loopback sockets, with backend servers that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import hashlib
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.serialization import Encoding, NoEncryption, PrivateFormat
+
+from builders import build_policy, build_route
+from call_network import Client, request
+from ibiswick._internal.blackboard import Blackboard
+from ibiswick._internal.dataplane import DataPlane
+from ibiswick._internal.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from ibiswick._internal.pool import Limits, Pool, PoolFetch, Remote, Request
+from ibiswick._internal.records import Endpoint, Phase, Snapshot
+from ibiswick._internal.settings import Address, NodeSettings, PlatformSettings, TlsSettings
+from ibiswick._internal.tls import build_client_context
+
+LOCAL = Address("127.0.0.1", 0)
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+GET = b"GET /status/1 HTTP/1.1\r\nhost: shop\r\n\r\n"
+
+Handler = Callable[["Exchange"], Awaitable[None]]
+
+
+class Exchange:
+    """Let a handler read one request and answer it byte by byte."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.head = b""
+
+    async def body(self) -> bytes:
+        """Read the body of the request."""
+        head = self.head.lower()
+        if b"transfer-encoding: chunked" in head:
+            parts = []
+            while size := int(await self.reader.readline(), 16):
+                parts.append(await self.reader.readexactly(size))
+                await self.reader.readline()
+            await self.reader.readline()
+            return b"".join(parts)
+        if b"content-length: " not in head:
+            return b""
+        length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        return await self.reader.readexactly(length)
+
+
+class RawBackend:
+    """Serve connections with a handler, and record the heads of requests."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.heads: list[bytes] = []
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> int:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        exchange = Exchange(reader, writer)
+        try:
+            while True:
+                exchange.head = await reader.readuntil(b"\r\n\r\n")
+                if exchange.head.startswith(b"GET /health "):
+                    writer.write(OK)
+                    continue
+                self.heads.append(exchange.head)
+                await self.handler(exchange)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+
+async def answer_ok(exchange: Exchange) -> None:
+    await exchange.body()
+    exchange.writer.write(OK)
+
+
+class Site:
+    """Run one node that is its own peer, with a raw backend server."""
+
+    def __init__(self) -> None:
+        self.backend = RawBackend(answer_ok)
+        self.board = Blackboard()
+        self.node: DataPlane | None = None
+
+    async def start(self, *, tls: TlsSettings | None = None, upload_idle_s: float = 5.0) -> None:
+        port = await self.backend.start()
+        node = DataPlane(
+            settings=NodeSettings(
+                vm="vm-1",
+                workspace="yorgan",
+                service="dukkan-masa",
+                region="ege",
+                availability_zone="ege-bir",
+                backend_server=Address("127.0.0.1", port),
+                caller=LOCAL,
+                peer=LOCAL,
+                control=LOCAL,
+                operations=LOCAL,
+                platform=PlatformSettings("http://127.0.0.1:1"),
+                tls=tls,
+                allow_plaintext=tls is None,
+                control_enabled=False,
+                upload_idle_s=upload_idle_s,
+            ),
+            board=self.board,
+        )
+        await node.start()
+        self.node = node
+        routes = (
+            build_route(deadline_ms=30_000),
+            build_route(id="brief", prefix="/brief", deadline_ms=200, idempotent=False),
+            build_route(id="upload", prefix="/upload", kind="upload", idempotent=False),
+        )
+        self.board.snapshot.set(Snapshot("yorgan", 1, "d", {"dukkan-masa": build_policy()}, routes))
+        endpoint = Endpoint("vm-1", 1, "ege-bir", "127.0.0.1", node.peer_port, 6, True)
+        self.board.endpoints.set({"dukkan-masa": (endpoint,)})
+
+    async def call(
+        self, *parts: bytes, port: int | None = None, tls: ssl.SSLContext | None = None
+    ) -> Client:
+        assert self.node is not None
+        loop = asyncio.get_running_loop()
+        return await request(loop, port or self.node.caller_port, *parts, tls=tls)
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[Site]:
+    site = Site()
+    await site.start()
+    site.board.floor_confirmed.set(True)
+    yield site
+    assert site.node is not None
+    await site.node.stop()
+    site.backend.stop()
+
+
+async def test_headers_of_a_call(site: Site) -> None:
+    """Guard against forged or leaked headers, and against a lost deadline."""
+    forged = (
+        GET[:-2] + b"ibiswick-call: 7\r\nibiswick-deadline-ms: 900\r\nconnection: x-a\r\nx-a: 1"
+    )
+    client = await site.call(forged + b"\r\nx-b: 2\r\n\r\n")
+    assert (client.status, client.body) == (200, b"ok")
+    assert not any(name.startswith("ibiswick-") for name in client.headers)
+    head = site.backend.heads[0]
+    assert b"x-b: 2\r\n" in head
+    assert b"x-a" not in head
+    assert b"ibiswick-call" not in head
+    deadline_ms = int(head.partition(b"ibiswick-deadline-ms: ")[2].partition(b"\r\n")[0])
+    assert 0 < deadline_ms <= 900
+
+
+HEAD = b"POST /status HTTP/1.1\r\nhost: shop\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (HEAD + b"content-length: 4\r\ncontent-length: 5\r\n\r\nbody", 400),
+        (HEAD + b"content-length: 4\r\ncontent-length: 4\r\n\r\nbody", 400),
+        (HEAD + b"content-length: 4, 4\r\n\r\nbody", 400),
+        (HEAD + b"content-length: +4\r\n\r\nbody", 400),
+        (CHUNKED + b"content-length: 4\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"transfer-encoding: xchunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n", 400),
+        (CHUNKED + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (CHUNKED + b"\r\nzz\r\n", 400),
+        (CHUNKED + b"\r\n4\r\nbodyX\r\n0\r\n\r\n", 400),
+        (CHUNKED + b"\r\n0\r\nx-trailer: 1\r\n\r\n", 501),
+        (CHUNKED + b"trailer: x-trailer\r\n\r\n0\r\n\r\n", 501),
+        (GET[:-2] + b"upgrade: websocket\r\nconnection: upgrade\r\n\r\n", 501),
+        (GET[:-2] + b"upgrade: h2c\r\nconnection: Upgrade, HTTP2-Settings\r\n\r\n", 501),
+        (b"CONNECT shop:80 HTTP/1.1\r\nhost: shop\r\n\r\n", 501),
+        (GET[:-2] + b"x-long: " + b"x" * 70_000 + b"\r\n\r\n", 431),
+        (GET[:-2] + b"bad name: 1\r\n\r\n", 400),
+        (GET[:-2] + b"name : 1\r\n\r\n", 400),
+        (GET[:-2] + b"x-null: a\0b\r\n\r\n", 400),
+        (GET[:-2] + b"host: other\r\n\r\n", 400),
+        (b"GET /status HTTP/1.1\r\n\r\n", 400),
+        (b"GET /status HTTP/1.0\r\nhost: shop\r\n\r\n", 400),
+        (b"GET http://other/status HTTP/1.1\r\nhost: shop\r\n\r\n", 400),
+        (b"GET /status/%2e%2e/brief HTTP/1.1\r\nhost: shop\r\n\r\n", 400),
+        (b"GET /unknown HTTP/1.1\r\nhost: shop\r\n\r\n", 404),
+        (b"\x16\x03\x01nonsense\r\n\r\n", 400),
+    ],
+)
+async def test_bad_requests_do_not_reach_a_backend_server(
+    site: Site, raw: bytes, status: int
+) -> None:
+    """Guard against request smuggling and against what ibiswick does not support."""
+    client = await site.call(raw)
+    assert client.status == status
+    assert b'"code":' in client.body
+    assert site.backend.heads == []
+    assert (await site.call(GET)).status == 200
+
+
+async def test_bad_bytes_after_a_request_are_not_answered_in_its_place(site: Site) -> None:
+    """Guard against a refusal that a caller takes for the answer to an earlier request."""
+    client = await site.call(GET + b"nonsense\r\n\r\n")
+    assert (client.status, client.complete) == (0, False)
+
+
+async def test_pipelined_requests_are_answered_in_order(site: Site) -> None:
+    """Guard against crossed answers on one caller connection."""
+
+    async def echo(exchange: Exchange) -> None:
+        path = exchange.head.split(b" ")[1]
+        exchange.writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(path) + path)
+
+    site.backend.handler = echo
+    assert site.node is not None
+    reader, writer = await asyncio.open_connection("127.0.0.1", site.node.caller_port)
+    writer.write(GET + GET.replace(b"/status/1", b"/status/2"))
+    first = await reader.readuntil(b"/status/1")
+    second = await reader.readuntil(b"/status/2")
+    assert first.count(b"HTTP/1.1") == second.count(b"HTTP/1.1") == 1
+    writer.close()
+
+
+async def test_an_answer_after_the_deadline_reaches_nobody(site: Site) -> None:
+    """Guard against a late answer that is taken for the answer to the next call."""
+    release = asyncio.Event()
+
+    async def answer_late(exchange: Exchange) -> None:
+        await release.wait()
+        exchange.writer.write(OK.replace(b"ok", b"no"))
+
+    site.backend.handler = answer_late
+    client = await site.call(GET.replace(b"/status/1", b"/brief"))
+    assert (client.status, client.headers["ibiswick-outcome"]) == (504, "unknown")
+    release.set()
+    site.backend.handler = answer_ok
+    assert (await site.call(GET)).body == b"ok"
+
+
+async def test_a_cut_body_is_never_complete(site: Site) -> None:
+    """Guard against a truncated body that looks whole, with and without a length."""
+    for head in (b"content-length: 9\r\n\r\nbo", b"transfer-encoding: chunked\r\n\r\n2\r\nbo\r\n"):
+
+        async def cut(exchange: Exchange, head: bytes = head) -> None:
+            exchange.writer.write(b"HTTP/1.1 200 OK\r\n" + head)
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        site.backend.handler = cut
+        client = await site.call(GET)
+        assert not client.complete
+
+
+async def test_a_caller_that_leaves_cancels_its_call(site: Site) -> None:
+    """Guard against backend servers that work for nobody."""
+    started, cancelled = asyncio.Event(), asyncio.Event()
+
+    async def wait_for_end(exchange: Exchange) -> None:
+        started.set()
+        assert await exchange.reader.read() == b""
+        cancelled.set()
+
+    site.backend.handler = wait_for_end
+    assert site.node is not None
+    _, writer = await asyncio.open_connection("127.0.0.1", site.node.caller_port)
+    writer.write(GET)
+    await started.wait()
+    writer.close()
+    await cancelled.wait()
+    while site.board.in_flight.value:
+        await site.board.in_flight.wait_change(site.board.in_flight.version)
+
+
+async def test_bodies_stream_both_ways(site: Site) -> None:
+    """Guard against lost or reordered parts of large bodies."""
+    data = b"".join(b"%08d" % i for i in range(400_000))
+
+    async def echo_digest(exchange: Exchange) -> None:
+        digest = hashlib.sha256(await exchange.body()).hexdigest().encode()
+        exchange.writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        for part in (digest, data):
+            exchange.writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+        exchange.writer.write(b"0\r\n\r\n")
+
+    site.backend.handler = echo_digest
+    sized = b"POST /upload HTTP/1.1\r\nhost: shop\r\ncontent-length: %d\r\n\r\n" % len(data)
+    chunked = b"POST /upload HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n"
+    encoded = b"%x\r\n%b\r\n0\r\n\r\n" % (len(data), data)
+    for parts in ((sized, data), (chunked, encoded)):
+        client = await site.call(*parts)
+        assert client.complete
+        assert client.body == hashlib.sha256(data).hexdigest().encode() + data
+
+
+async def test_a_refused_upload_goes_to_another_endpoint_whole(site: Site) -> None:
+    """Guard against losing an upload because its first endpoint has no connection or slot."""
+    refusing = RawBackend(answer_ok)
+
+    async def refuse(exchange: Exchange) -> None:
+        call_id = exchange.head.partition(b"ibiswick-call: ")[2].partition(b"\r\n")[0]
+        exchange.writer.write(
+            b"HTTP/1.1 503 No\r\nibiswick-outcome: not-run\r\nibiswick-call: %b\r\n"
+            b"content-length: 0\r\n\r\n" % call_id
+        )
+
+    refusing.handler = refuse
+    other = Endpoint("vm-2", 1, "ege-bir", "127.0.0.1", await refusing.start(), 6, True)
+    site.board.endpoints.set({"dukkan-masa": (*site.board.endpoints.value["dukkan-masa"], other)})
+    body = b"x" * 300_000
+    head = b"POST /upload HTTP/1.1\r\nhost: shop\r\ncontent-length: 300000\r\n\r\n"
+    for _ in range(5):
+        assert (await site.call(head, body)).status == 200
+    assert refusing.heads
+    refusing.stop()
+
+
+async def test_a_call_is_refused_before_the_floor_is_confirmed(site: Site) -> None:
+    """Guard against serving a configuration older than the one applied before a restart."""
+    site.board.floor_confirmed.set(False)
+    client = await site.call(GET)
+    assert (client.status, client.headers["ibiswick-outcome"]) == (503, "not-run")
+    assert client.headers["retry-after"] == "1"
+    assert site.backend.heads == []
+
+
+async def test_a_call_of_another_workspace_is_refused(site: Site) -> None:
+    """Guard against a stale endpoint that leads into another workspace."""
+    assert site.node is not None
+    raw = GET[:-2] + b"ibiswick-call: 1\r\nibiswick-workspace: bakony\r\n\r\n"
+    client = await site.call(raw, port=site.node.peer_port)
+    assert (client.status, client.headers["ibiswick-outcome"]) == (403, "not-run")
+    assert client.headers["ibiswick-call"] == "1"
+    assert site.backend.heads == []
+
+
+async def test_operations_port_shows_readiness_and_counts(site: Site) -> None:
+    """Guard against a node that can't be observed."""
+    assert site.node is not None
+    await site.call(GET)
+    port = site.node.operations_port
+    ready = await site.call(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n", port=port)
+    assert (ready.status, ready.body) == (200, b"serving")
+    site.board.phase.set(Phase.DRAINING)
+    ready = await site.call(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n", port=port)
+    assert ready.status == 503
+    metrics = await site.call(b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n", port=port)
+    assert b'ibiswick_calls_total{result="answered"} 1' in metrics.body
+
+
+# The pool alone
+
+
+async def exchange_once(pool: Pool, port: int, **limits: object) -> bytes:
+    loop = asyncio.get_running_loop()
+    options = {"deadline": loop.time() + 30.0, **limits}
+    response = await pool.exchange(Remote("127.0.0.1", port), Request(GET), Limits(**options))
+    return await response.read()
+
+
+@pytest.fixture
+async def pool() -> AsyncIterator[Pool]:
+    pool = Pool(idle_limit_s=30.0)
+    yield pool
+    pool.close()
+
+
+async def test_a_timeout_closes_older_idle_connections(pool: Pool) -> None:
+    """Guard against trying one dead connection after the other when a path has gone silent."""
+    backend = RawBackend(answer_ok)
+    port = await backend.start()
+    together = [exchange_once(pool, port) for _ in range(3)]
+    assert await asyncio.gather(*together) == [b"ok"] * 3
+    assert pool.count_idle(Remote("127.0.0.1", port)) == 3
+
+    async def stay_silent(exchange: Exchange) -> None:
+        await exchange.reader.read()
+
+    backend.handler = stay_silent
+    loop = asyncio.get_running_loop()
+    with pytest.raises(ExchangeTimeoutError):
+        await exchange_once(pool, port, deadline=loop.time() + 0.05)
+    assert pool.count_idle(Remote("127.0.0.1", port)) == 0
+    backend.handler = answer_ok
+    assert await exchange_once(pool, port) == b"ok"
+    backend.stop()
+
+
+async def test_a_connection_that_the_server_closes_is_not_used_again(pool: Pool) -> None:
+    """Guard against the race between a server's keep-alive limit and the next call."""
+
+    async def answer_and_close(exchange: Exchange) -> None:
+        exchange.writer.write(OK.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"))
+        exchange.writer.close()
+
+    backend = RawBackend(answer_and_close)
+    port = await backend.start()
+    for _ in range(5):
+        assert await exchange_once(pool, port) == b"ok"
+    assert backend.connections == 5
+    backend.stop()
+
+
+async def test_a_call_that_must_not_run_twice_avoids_a_connection_that_may_be_closed(
+    pool: Pool,
+) -> None:
+    """Guard against an unknown outcome because the server closed an idle connection unannounced."""
+
+    async def answer_and_close(exchange: Exchange) -> None:
+        exchange.writer.write(OK)
+        exchange.writer.close()
+
+    backend = RawBackend(answer_and_close)
+    port = await backend.start()
+    for _ in range(5):
+        assert await exchange_once(pool, port, alive_within_s=0.0) == b"ok"
+    assert backend.connections == 5
+    backend.stop()
+
+
+async def test_surplus_bytes_close_the_connection(pool: Pool) -> None:
+    """Guard against a second response that waits for the next call."""
+
+    async def answer_twice(exchange: Exchange) -> None:
+        exchange.writer.write(OK + OK.replace(b"ok", b"no"))
+
+    backend = RawBackend(answer_twice)
+    port = await backend.start()
+    for _ in range(3):
+        assert await exchange_once(pool, port) == b"ok"
+    assert backend.connections == 3
+    backend.stop()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
+        b"HTTP/1.1 101 Go\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nibiswick-call: other\r\ncontent-length: 2\r\n\r\nok",
+    ],
+)
+async def test_a_response_that_cannot_be_trusted_is_lost(pool: Pool, raw: bytes) -> None:
+    """Guard against passing on a response of unknown length or of another call."""
+
+    async def answer_raw(exchange: Exchange) -> None:
+        exchange.writer.write(raw)
+
+    backend = RawBackend(answer_raw)
+    port = await backend.start()
+    with pytest.raises(ResponseLostError):
+        await exchange_once(pool, port, call_id=b"mine")
+    backend.stop()
+
+
+async def test_connections_are_limited_and_failures_to_connect_are_not_sent(pool: Pool) -> None:
+    """Guard against more connections than a backend server has, and against a wrong outcome."""
+    backend = RawBackend(answer_ok)
+    port = await backend.start()
+    many = [exchange_once(pool, port, connections=2) for _ in range(20)]
+    assert await asyncio.gather(*many) == [b"ok"] * 20
+    assert backend.connections == 2
+    backend.stop()
+    with pytest.raises(NotSentError):
+        await exchange_once(Pool(idle_limit_s=1.0), port)
+
+
+async def test_fetch_returns_a_whole_response(pool: Pool) -> None:
+    """Guard against a platform client that sees a partial or misread response."""
+    backend = RawBackend(answer_ok)
+    port = await backend.start()
+    fetch = PoolFetch(pool=pool, base_url=f"http://127.0.0.1:{port}/base")
+    response = await fetch("PUT", "/v1/x", {"if-match": '"7"'}, b"{}", 5.0)
+    assert response == (200, {"content-length": "2"}, b"ok")
+    assert backend.heads[0].startswith(b"PUT /base/v1/x HTTP/1.1\r\n")
+    assert b'if-match: "7"\r\n' in backend.heads[0]
+    backend.stop()
+
+
+# TLS
+
+
+class Authority:
+    """Issue certificates to nodes, and write them to files."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        self._name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "authority")])
+        self._write("authority.crt", self._sign(self._name, self._key, "urn:authority", ca=True))
+
+    def _sign(self, name: x509.Name, key: Any, uri: str, *, ca: bool = False) -> bytes:
+        now = datetime.datetime.now(datetime.UTC)
+        names = x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)])
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(name)
+            .issuer_name(self._name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - datetime.timedelta(hours=1))
+            .not_valid_after(now + datetime.timedelta(hours=1))
+            .add_extension(x509.BasicConstraints(ca=ca, path_length=None), critical=True)
+            .add_extension(names, critical=False)
+        )
+        return builder.sign(self._key, hashes.SHA256()).public_bytes(Encoding.PEM)
+
+    def _write(self, name: str, content: bytes) -> str:
+        path = self._directory / name
+        path.write_bytes(content)
+        return str(path)
+
+    def issue(self, vm: str, workspace: str) -> TlsSettings:
+        """Return the settings of one node."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, vm)])
+        certificate = self._sign(name, key, f"ibiswick://{workspace}/{vm}")
+        secret = key.private_bytes(Encoding.PEM, PrivateFormat.PKCS8, NoEncryption())
+        stem = f"{workspace}-{vm}"
+        return TlsSettings(
+            self._write(f"{stem}.crt", certificate),
+            self._write(f"{stem}.key", secret),
+            str(self._directory / "authority.crt"),
+        )
+
+
+async def test_the_peer_port_wants_a_certificate_of_its_workspace(tmp_path: Path) -> None:
+    """Guard against calls from outside the mesh or from another workspace, and to another VM."""
+    authority = Authority(tmp_path)
+    site = Site()
+    await site.start(tls=authority.issue("vm-1", "yorgan"))
+    site.board.floor_confirmed.set(True)
+    assert site.node is not None
+    plain = ssl.create_default_context(cafile=str(tmp_path / "authority.crt"))
+    plain.check_hostname = False
+    foreign = build_client_context(authority.issue("vm-1", "bakony"))
+    own = build_client_context(authority.issue("vm-2", "yorgan"))
+    raw = GET[:-2] + b"ibiswick-call: 1\r\nibiswick-workspace: yorgan\r\n\r\n"
+    assert (await site.call(raw, port=site.node.peer_port, tls=own)).status == 200
+    for context in (plain, foreign):
+        assert (await site.call(raw, port=site.node.peer_port, tls=context)).status == 0
+    assert len(site.backend.heads) == 1
+    assert (await site.call(GET, tls=plain)).status == 200
+    endpoint = site.board.endpoints.value["dukkan-masa"][0]
+    site.board.endpoints.set({"dukkan-masa": (endpoint._replace(vm="vm-9", incarnation=2),)})
+    client = await site.call(GET, tls=plain)
+    assert (client.status, client.headers["ibiswick-outcome"]) == (503, "not-run")
+    assert len(site.backend.heads) == 2
+    await site.node.stop()
+    site.backend.stop()
