--- a/src/ibiswick/_internal/heads.py
+++ b/src/ibiswick/_internal/heads.py
@@ -164,10 +164,11 @@
     >>> parse_load(b"3,0") is None
     True
     """
-    parts = value.split(b",")
-    if len(parts) != 3 or len(value) > 30 or not all(part.isdigit() for part in parts):
+    try:
+        in_flight, queued, slots = value[:30].split(b",")
+        return Load(int(in_flight), int(queued), int(slots))
+    except ValueError:
         return None
-    return Load(int(parts[0]), int(parts[1]), int(parts[2]))
 
 
 class ResponseHead(NamedTuple):
