--- a/src/ibiswick/_internal/errors.py
+++ b/src/ibiswick/_internal/errors.py
@@ -79,6 +79,12 @@
         self.current = current
 
 
+class ValueTooLargeError(PlatformError):
+    """Report a value that the platform does not take because of its size."""
+
+    code = "value-too-large"
+
+
 class SnapshotError(IbiswickError):
     """Report a snapshot that a node refuses as a whole."""
 
@@ -103,6 +109,12 @@
     code = "base-mismatch"
 
 
+class MalformedSnapshotError(SnapshotError):
+    """Report a snapshot or a difference of the wrong shape."""
+
+    code = "malformed-snapshot"
+
+
 class MessageError(IbiswickError):
     """Report a message of the wrong shape, size or protocol version."""
 
--- /dev/null
+++ b/src/ibiswick/_internal/snapshots.py
@@ -0,0 +1,192 @@
+"""Build, check and compare snapshots, and decide whether a node applies one."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from operator import itemgetter
+from typing import Any, NamedTuple
+
+import msgspec
+
+from .digests import compute_digest
+from .errors import (
+    BaseMismatchError,
+    DanglingReferenceError,
+    DigestMismatchError,
+    MalformedSnapshotError,
+    SnapshotError,
+)
+from .records import Refusal, Route, ServicePolicy, Snapshot
+
+
+class Delta(NamedTuple):
+    """Carry the difference between two snapshots of one workspace."""
+
+    workspace: str
+    generation: int
+    digest: str
+    base_digest: str
+    changed_services: dict[str, ServicePolicy]
+    removed_services: tuple[str, ...]
+    changed_routes: tuple[Route, ...]
+    removed_routes: tuple[str, ...]
+
+
+class ApplyOutcome(StrEnum):
+    """Outcome of offering a snapshot to a node."""
+
+    APPLIED = "applied"
+    IGNORED = "ignored"
+    REFUSED = "refused"
+
+
+class ApplyDecision(NamedTuple):
+    """Tell what a node does with an offered snapshot; a refusal comes with its reason."""
+
+    outcome: ApplyOutcome
+    refusal: Refusal | None = None
+
+
+class _Content(NamedTuple):
+    workspace: str
+    services: dict[str, ServicePolicy]
+    routes: tuple[Route, ...]
+
+
+def build_snapshot(
+    *,
+    workspace: str,
+    generation: int,
+    services: Mapping[str, ServicePolicy],
+    routes: Iterable[Route],
+) -> Snapshot:
+    """Build a snapshot with its digest; routes are put in the order of their ids."""
+    ordered = tuple(sorted(routes, key=itemgetter("id")))
+    digest = compute_digest(_list_content(workspace, dict(services), ordered))
+    return Snapshot(workspace, generation, digest, dict(services), ordered)
+
+
+def encode_snapshot(snapshot: Snapshot) -> dict[str, Any]:
+    """Return the content that the digest covers, as kept in `blobs/<digest>`."""
+    return _list_content(snapshot.workspace, snapshot.services, snapshot.routes)
+
+
+def parse_snapshot(content: Any, *, generation: int, digest: str) -> Snapshot:
+    """Read the content of `blobs/<digest>`; raise SnapshotError unless it is a valid snapshot."""
+    if not isinstance(content, dict) or set(content) != set(_Content._fields):
+        raise MalformedSnapshotError("the snapshot is not an object with its three keys")
+    values = _convert([content[name] for name in _Content._fields], _Content)
+    snapshot = Snapshot(values.workspace, generation, digest, values.services, values.routes)
+    check_snapshot(snapshot)
+    return snapshot
+
+
+def check_snapshot(snapshot: Snapshot) -> None:
+    """Raise SnapshotError unless shape, digest and references of a snapshot are right."""
+    _check_shape(snapshot)
+    content = _list_content(snapshot.workspace, snapshot.services, snapshot.routes)
+    digest = compute_digest(content)
+    if digest != snapshot.digest:
+        raise DigestMismatchError(f"expected digest {snapshot.digest}, found {digest}")
+    check_references(snapshot)
+
+
+def check_references(snapshot: Snapshot) -> None:
+    """Raise DanglingReferenceError when a route's service is not in the snapshot."""
+    for route in snapshot.routes:
+        if route["service"] not in snapshot.services:
+            raise DanglingReferenceError(
+                f"route {route['id']} refers to service {route['service']}, which does not exist"
+            )
+
+
+def compute_delta(base: Snapshot, target: Snapshot) -> Delta:
+    """Return the difference that turns one snapshot into another."""
+    base_routes = {route["id"]: route for route in base.routes}
+    target_routes = {route["id"]: route for route in target.routes}
+    return Delta(
+        workspace=target.workspace,
+        generation=target.generation,
+        digest=target.digest,
+        base_digest=base.digest,
+        changed_services={
+            name: policy
+            for name, policy in target.services.items()
+            if base.services.get(name) != policy
+        },
+        removed_services=tuple(sorted(base.services.keys() - target.services.keys())),
+        changed_routes=tuple(
+            route for key, route in target_routes.items() if base_routes.get(key) != route
+        ),
+        removed_routes=tuple(sorted(base_routes.keys() - target_routes.keys())),
+    )
+
+
+def apply_delta(base: Snapshot, delta: Delta) -> Snapshot:
+    """Return the snapshot that a delta describes; raise BaseMismatchError for another base.
+
+    The result carries the digest that the delta states; `decide_apply` checks it.
+    """
+    if base.digest != delta.base_digest or base.workspace != delta.workspace:
+        raise BaseMismatchError(
+            f"the delta is for {delta.workspace} {delta.base_digest}, "
+            f"the base is {base.workspace} {base.digest}"
+        )
+    delta = _convert(delta, Delta)
+    services = {**base.services, **delta.changed_services}
+    for name in delta.removed_services:
+        services.pop(name, None)
+    routes = {route["id"]: route for route in (*base.routes, *delta.changed_routes)}
+    for route_id in delta.removed_routes:
+        routes.pop(route_id, None)
+    ordered = tuple(routes[route_id] for route_id in sorted(routes))
+    return Snapshot(delta.workspace, delta.generation, delta.digest, services, ordered)
+
+
+def decide_apply(current: Snapshot | None, offered: Snapshot, *, floor: int) -> ApplyDecision:
+    """Decide whether a node replaces its snapshot by an offered one.
+
+    A generation not above the current one is ignored. A generation below `floor`, the highest one
+    that the node may have applied before a restart, is refused, and so is one that fails its check.
+    """
+    if current is not None and offered.generation <= current.generation:
+        return ApplyDecision(ApplyOutcome.IGNORED)
+    if offered.generation < floor:
+        return _refuse(offered, "below-floor", f"the floor is generation {floor}")
+    if current is not None and offered.workspace != current.workspace:
+        return _refuse(offered, "workspace-mismatch", f"this node serves {current.workspace}")
+    try:
+        check_snapshot(offered)
+    except SnapshotError as error:
+        return _refuse(offered, error.code, error.detail)
+    return ApplyDecision(ApplyOutcome.APPLIED)
+
+
+def _refuse(offered: Snapshot, code: str, detail: str) -> ApplyDecision:
+    return ApplyDecision(ApplyOutcome.REFUSED, Refusal(offered.generation, code, detail))
+
+
+def _check_shape(snapshot: Snapshot) -> None:
+    """Check types, that no key is unknown, and that route ids are unique and in order."""
+    # Conversion drops unknown keys, so that a snapshot with one differs from its converted form.
+    if _convert(snapshot, Snapshot) != snapshot:
+        raise MalformedSnapshotError("the snapshot has keys that this version does not know")
+    ids = [route["id"] for route in snapshot.routes]
+    if any(first >= second for first, second in itertools.pairwise(ids)):
+        raise MalformedSnapshotError("the routes are not in the order of unique ids")
+
+
+def _convert(value: Iterable[Any], kind: Any) -> Any:
+    try:
+        # msgspec does not look into a value that is already an instance of the NamedTuple.
+        return msgspec.convert(tuple(value), kind)
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise MalformedSnapshotError(str(error)) from error
+
+
+def _list_content(
+    workspace: str, services: dict[str, ServicePolicy], routes: tuple[Route, ...]
+) -> dict[str, Any]:
+    return {"workspace": workspace, "services": services, "routes": routes}
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,153 @@
+"""Provide fakes of the platform and of the clock, with faults on demand."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import Any
+
+from ibiswick._internal.errors import OutcomeUnknownError, PlatformUnavailableError
+from ibiswick._internal.platform import Listing, StoredObject
+from ibiswick._internal.standins.store import ObjectStore
+
+
+class FakeClock:
+    """Hold a time in seconds that moves only on demand.
+
+    Calling the clock returns the time. `sleep` advances it and lets other tasks run.
+    """
+
+    def __init__(self, now: float = 0.0) -> None:
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+    def advance(self, seconds: float) -> None:
+        """Move the time forward."""
+        self.now += seconds
+
+    async def sleep(self, seconds: float) -> None:
+        """Move the time forward and let other tasks run once."""
+        self.now += max(seconds, 0.0)
+        await asyncio.sleep(0)
+
+
+class FakePlatform:
+    """Implement `Platform` on an ObjectStore, which several fakes may share.
+
+    * `down`: every call raises PlatformUnavailableError.
+    * `reject_calls`: so many of the next calls raise PlatformUnavailableError.
+    * `lose_answers`: so many of the next writes take effect and raise OutcomeUnknownError.
+    * `lose_requests`: so many of the next writes have no effect and raise OutcomeUnknownError.
+    * `stale_reads`: so many of the next `get` calls return the object before its last write.
+    * `cut_watches()`: pending watches raise PlatformUnavailableError.
+    * `slow_s`: every call sleeps so long first (on the event loop's clock).
+
+    `yields` is how often a call lets other tasks run before and after it takes effect. `calls`
+    counts calls by method, and `log` lists (method, key).
+    """
+
+    def __init__(self, store: ObjectStore | None = None) -> None:
+        self.store = store if store is not None else ObjectStore()
+        self.down = False
+        self.reject_calls = 0
+        self.lose_answers = 0
+        self.lose_requests = 0
+        self.stale_reads = 0
+        self.slow_s = 0.0
+        self.yields = 1
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.log: list[tuple[str, str]] = []
+        self._previous: dict[str, StoredObject | None] = {}
+        self._cuts = 0
+        self._wake = asyncio.Event()
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object, or the one before its last write."""
+        await self._enter("get", key)
+        found = self.store.get(key)
+        if self.stale_reads and key in self._previous:
+            self.stale_reads -= 1
+            found = self._previous[key]
+        await self._yield()
+        return found
+
+    async def put(self, key: str, value: Any, *, expected: int | None = None) -> int:
+        """Write one object."""
+        await self._enter("put", key)
+        self._lose_request(key)
+        before = self.store.get(key)
+        version = self.store.put(key, value, expected=expected)
+        self._finish_write(key, before)
+        await self._yield()
+        return version
+
+    async def delete(self, key: str, *, expected: int | None = None) -> None:
+        """Delete one object."""
+        await self._enter("delete", key)
+        self._lose_request(key)
+        before = self.store.get(key)
+        if self.store.delete(key, expected=expected):
+            self._finish_write(key, before)
+        await self._yield()
+
+    async def list(
+        self, prefix: str, *, after: str = "", limit: int = 1000, reverse: bool = False
+    ) -> Listing:
+        """Return objects under a prefix."""
+        await self._enter("list", prefix)
+        return self.store.list(prefix, after=after, limit=limit, reverse=reverse)
+
+    async def watch(self, prefix: str, *, after: int, timeout_s: float) -> Listing:
+        """Wait for a write on this fake; writes through other fakes are seen at the timeout."""
+        await self._enter("watch", prefix)
+        cuts = self._cuts
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while not (listing := self.store.list_changes(prefix, after=after)).objects:
+            wake = self._wake
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await wake.wait()
+            except TimeoutError:
+                return self.store.list_changes(prefix, after=after)
+            if self.down or self._cuts != cuts:
+                raise PlatformUnavailableError("the watch was cut")
+        return listing
+
+    def cut_watches(self) -> None:
+        """Break the pending watches."""
+        self._cuts += 1
+        self._notify()
+
+    def _notify(self) -> None:
+        self._wake.set()
+        self._wake = asyncio.Event()
+
+    async def _enter(self, method: str, key: str) -> None:
+        self.calls[method] += 1
+        self.log.append((method, key))
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+        await self._yield()
+        if self.reject_calls:
+            self.reject_calls -= 1
+            raise PlatformUnavailableError("rejected")
+        if self.down:
+            raise PlatformUnavailableError("the platform is down")
+
+    async def _yield(self) -> None:
+        for _ in range(self.yields):
+            await asyncio.sleep(0)
+
+    def _lose_request(self, key: str) -> None:
+        if self.lose_requests:
+            self.lose_requests -= 1
+            raise OutcomeUnknownError(f"the request for {key} was lost")
+
+    def _finish_write(self, key: str, before: StoredObject | None) -> None:
+        self._previous[key] = before
+        self._notify()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise OutcomeUnknownError(f"the answer for {key} was lost")
