Add the HTTP client of the platform and its stand-in

A lost answer and an unexpected server error count as outcome unknown for writes and as unavailable for reads. The tests run the client over httpx against the stand-in on loopback, with lost answers, stale reads, cut watches, outages and rate limits.

--- a/src/ibiswick/_internal/platform.py
+++ b/src/ibiswick/_internal/platform.py
@@ -17,8 +17,28 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple, Protocol
+import math
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any, NamedTuple, NoReturn, Protocol, TypeVar
 
+import msgspec
+
+from .errors import (
+    ConflictError,
+    NotSentError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    ResponseLostError,
+    ValueTooLargeError,
+)
+
+T = TypeVar("T")
+
+DEFAULT_TIMEOUT_S = 2.0
+DEFAULT_RETRY_AFTER_S = 1.0
+# A platform that names a longer delay would keep its clients away long after it is back.
+MAX_RETRY_AFTER_S = 60.0
 MAX_VALUE_BYTES = 1_000_000
 MUST_NOT_EXIST = 0
 
@@ -62,3 +82,196 @@
 
     async def watch(self, prefix: str, *, after: int, timeout_s: float) -> Listing:
         """Wait for writes under a prefix newer than a revision."""
+
+
+class FetchResponse(NamedTuple):
+    """Hold one complete HTTP response; the names of headers are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class Fetch(Protocol):
+    """Carry out one HTTP exchange with the origin that the implementation is bound to.
+
+    `target` is a path with an optional query. Raises NotSentError when not one byte was sent and
+    ResponseLostError when there is no complete response.
+    """
+
+    async def __call__(
+        self, method: str, target: str, headers: Mapping[str, str], body: bytes, timeout_s: float
+    ) -> FetchResponse:
+        """Return the response, whatever its status."""
+
+
+class _ObjectBody(msgspec.Struct):
+    key: str
+    version: int
+    value: Any = None
+    deleted: bool = False
+
+
+class _ListingBody(msgspec.Struct):
+    revision: int
+    objects: list[_ObjectBody]
+
+
+class _VersionBody(msgspec.Struct):
+    version: int
+
+
+class HttpPlatform:
+    """Call the object API over HTTP.
+
+    `caller` names this process in the platform's statistics. `fetch` is bound to the origin of
+    `base_url`; the path of `base_url` is put before the path of every call.
+    """
+
+    def __init__(
+        self,
+        *,
+        fetch: Fetch,
+        base_url: str,
+        caller: str = "ibiswick",
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        parts = urllib.parse.urlsplit(base_url)
+        self._fetch = fetch
+        self._base_path = parts.path.rstrip("/")
+        self._headers = {"host": parts.netloc, "user-agent": caller}
+        self._timeout_s = timeout_s
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object, or None when it is missing."""
+        response = await self._read(_quote_key(key), self._timeout_s)
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            _raise_read_failure(response)
+        version = _parse_etag(response.headers.get("etag", ""))
+        return StoredObject(key, version, _decode_read(response.body, Any))
+
+    async def put(self, key: str, value: Any, *, expected: int | None = None) -> int:
+        """Write one object and return its version."""
+        body = msgspec.json.encode(value)
+        if len(body) > MAX_VALUE_BYTES:
+            raise ValueTooLargeError(f"{key} has {len(body)} bytes, the limit is {MAX_VALUE_BYTES}")
+        response = await self._write("PUT", key, body, expected)
+        if response.status not in (200, 201):
+            _raise_write_failure(response, key)
+        try:
+            return msgspec.json.decode(response.body, type=_VersionBody).version
+        except msgspec.DecodeError as error:
+            raise OutcomeUnknownError(f"malformed answer to the write of {key}") from error
+
+    async def delete(self, key: str, *, expected: int | None = None) -> None:
+        """Delete one object; a missing one is no error."""
+        response = await self._write("DELETE", key, b"", expected)
+        if response.status not in (200, 204, 404):
+            _raise_write_failure(response, key)
+
+    async def list(
+        self, prefix: str, *, after: str = "", limit: int = 1000, reverse: bool = False
+    ) -> Listing:
+        """Return objects under a prefix in order of their keys."""
+        query = {"prefix": prefix, "after": after, "limit": limit, "reverse": int(reverse)}
+        return await self._read_listing("/v1/objects", query, self._timeout_s)
+
+    async def watch(self, prefix: str, *, after: int, timeout_s: float) -> Listing:
+        """Wait for writes under a prefix newer than a revision."""
+        query = {"prefix": prefix, "after": after, "timeout": timeout_s}
+        return await self._read_listing("/v1/watch", query, timeout_s + self._timeout_s)
+
+    async def _read_listing(self, path: str, query: dict[str, Any], timeout_s: float) -> Listing:
+        response = await self._read(f"{path}?{urllib.parse.urlencode(query)}", timeout_s)
+        if response.status != 200:
+            _raise_read_failure(response)
+        body = _decode_read(response.body, _ListingBody)
+        objects = tuple(
+            StoredObject(found.key, found.version, None if found.deleted else found.value)
+            for found in body.objects
+        )
+        return Listing(body.revision, objects)
+
+    async def _read(self, target: str, timeout_s: float) -> FetchResponse:
+        try:
+            return await self._fetch("GET", self._base_path + target, self._headers, b"", timeout_s)
+        except (NotSentError, ResponseLostError) as error:
+            raise PlatformUnavailableError(f"{error.code}: {error.detail}") from error
+
+    async def _write(
+        self, method: str, key: str, body: bytes, expected: int | None
+    ) -> FetchResponse:
+        headers = {**self._headers, **_list_conditions(expected)}
+        if body:
+            headers["content-type"] = "application/json"
+        target = self._base_path + _quote_key(key)
+        try:
+            return await self._fetch(method, target, headers, body, self._timeout_s)
+        except NotSentError as error:
+            raise PlatformUnavailableError(f"{error.code}: {error.detail}") from error
+        except ResponseLostError as error:
+            raise OutcomeUnknownError(f"{error.code}: {error.detail}") from error
+
+
+def _quote_key(key: str) -> str:
+    return "/v1/objects/" + urllib.parse.quote(key, safe="/")
+
+
+def _list_conditions(expected: int | None) -> dict[str, str]:
+    if expected is None:
+        return {}
+    if expected == MUST_NOT_EXIST:
+        return {"if-none-match": "*"}
+    return {"if-match": f'"{expected}"'}
+
+
+def _parse_etag(text: str) -> int:
+    try:
+        return int(text.strip('"'))
+    except ValueError:
+        raise PlatformUnavailableError(f"malformed ETag {text[:80]!r}") from None
+
+
+def _decode_read(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise PlatformUnavailableError(f"malformed answer: {error}") from error
+
+
+def _raise_read_failure(response: FetchResponse) -> NoReturn:
+    raise PlatformUnavailableError(
+        f"status {response.status}", retry_after_s=_parse_retry_after(response.headers)
+    )
+
+
+def _raise_write_failure(response: FetchResponse, key: str) -> NoReturn:
+    if response.status == 412:
+        raise ConflictError(
+            f"{key} was changed by another writer", current=_parse_current(response.body)
+        )
+    if response.status == 413:
+        raise ValueTooLargeError(f"the platform does not take the value of {key}")
+    if response.status >= 500 and response.status != 503:
+        raise OutcomeUnknownError(f"status {response.status} to the write of {key}")
+    _raise_read_failure(response)
+
+
+def _parse_current(body: bytes) -> int:
+    """Return the current version of a conflict; 0 when the answer does not tell it."""
+    try:
+        return msgspec.json.decode(body, type=_VersionBody).version
+    except msgspec.DecodeError:
+        return 0
+
+
+def _parse_retry_after(headers: Mapping[str, str]) -> float:
+    try:
+        delay = float(headers.get("retry-after", ""))
+    except ValueError:
+        return DEFAULT_RETRY_AFTER_S
+    if not math.isfinite(delay) or delay < 0:
+        return DEFAULT_RETRY_AFTER_S
+    return min(delay, MAX_RETRY_AFTER_S)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,202 @@
+"""Test the HTTP client of the platform against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Mapping
+
+import httpx
+import pytest
+import uvicorn
+
+from ibiswick._internal.errors import (
+    ConflictError,
+    NotSentError,
+    OutcomeUnknownError,
+    PlatformError,
+    PlatformUnavailableError,
+    ResponseLostError,
+    ValueTooLargeError,
+)
+from ibiswick._internal.platform import MUST_NOT_EXIST, FetchResponse, HttpPlatform
+from ibiswick._internal.platform_httpx import connect_platform
+from ibiswick._internal.settings import PlatformSettings
+from ibiswick._internal.standins.platform import PlatformApplication
+
+
+@contextlib.asynccontextmanager
+async def serve(application: PlatformApplication) -> AsyncIterator[str]:
+    """Serve an application on loopback."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    config = uvicorn.Config(
+        application, lifespan="off", log_level="critical", timeout_graceful_shutdown=1
+    )
+    server = uvicorn.Server(config)
+    task = asyncio.create_task(server.serve(sockets=[listener]))
+    while not server.started:  # noqa: ASYNC110, uvicorn has no event for it
+        await asyncio.sleep(0.01)
+    try:
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        server.should_exit = True
+        await task
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    application: PlatformApplication, *, timeout_s: float = 20.0
+) -> AsyncIterator[tuple[HttpPlatform, httpx.AsyncClient]]:
+    """Yield a client of a served application and a plain client for its faults."""
+    async with serve(application) as url, httpx.AsyncClient(base_url=url) as plain:
+        settings = PlatformSettings(url=url, timeout_s=timeout_s)
+        platform, fetch = connect_platform(settings, caller="test")
+        try:
+            yield platform, plain
+        finally:
+            await fetch.close()
+
+
+async def wait_for_watch(plain: httpx.AsyncClient) -> None:
+    """Wait until the stand-in has a pending watch."""
+    while (await plain.get("/_counts")).json()["pending_watches"] == 0:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+
+
+async def test_objects_are_versioned_and_conditional() -> None:
+    """Guard against two writers who both believe to have won."""
+    async with connect(PlatformApplication()) as (platform, _):
+        assert await platform.get("live/head") is None
+        first = await platform.put("live/head", {"a": 1}, expected=MUST_NOT_EXIST)
+        with pytest.raises(ConflictError) as caught:
+            await platform.put("live/head", {"a": 2}, expected=MUST_NOT_EXIST)
+        assert caught.value.current == first
+        second = await platform.put("live/head", {"a": 2}, expected=first)
+        assert await platform.get("live/head") == ("live/head", second, {"a": 2})
+        await platform.put("live/höher %?", [1])
+        listing = await platform.list("live/", limit=1, reverse=True)
+        assert [found.key for found in listing.objects] == ["live/höher %?"]
+        listing = await platform.list("live/", after="live/head")
+        assert [found.value for found in listing.objects] == [[1]]
+        with pytest.raises(ConflictError):
+            await platform.delete("live/head", expected=first)
+        await platform.delete("live/head", expected=second)
+        await platform.delete("live/head")
+        with pytest.raises(ValueTooLargeError):
+            await platform.put("x", "y" * 1_000_000)
+
+
+async def test_watch_reports_writes_and_deletions() -> None:
+    """Guard against a change that no watcher learns of."""
+    async with connect(PlatformApplication()) as (platform, plain):
+        pending = asyncio.create_task(platform.watch("live/", after=0, timeout_s=20))
+        await wait_for_watch(plain)
+        await platform.put("other", 1)
+        version = await platform.put("live/head", {"a": 1})
+        assert (await pending).objects == (("live/head", version, {"a": 1}),)
+        await platform.delete("live/head")
+        listing = await platform.watch("live/", after=version, timeout_s=20)
+        assert listing.objects == (("live/head", listing.revision, None),)
+        listing = await platform.watch("live/", after=listing.revision, timeout_s=0.01)
+        assert listing.objects == ()
+        counts = (await plain.get("/_counts")).json()
+        assert counts["callers"]["test"] == {"watch": 3, "put": 2, "delete": 1}
+
+
+async def test_faults_on_demand() -> None:
+    """Guard against a client that takes a lost answer for a failed write."""
+    async with connect(PlatformApplication()) as (platform, plain):
+        await platform.put("a", 1)
+        await plain.post("/_faults", json={"lose_answers": 1.0, "stale_reads": 1.0})
+        with pytest.raises(OutcomeUnknownError):
+            await platform.put("a", 1)
+        with pytest.raises(OutcomeUnknownError):
+            await platform.delete("a")
+        with pytest.raises(OutcomeUnknownError):
+            await platform.put("a", 2)
+        assert await platform.get("a") is None
+        await plain.post("/_faults", json={"lose_answers": 0, "stale_reads": 0})
+        found = await platform.get("a")
+        assert found is not None
+        assert found.value == 2
+
+        pending = asyncio.create_task(platform.watch("b", after=0, timeout_s=20))
+        await wait_for_watch(plain)
+        await plain.post("/_faults", json={"cut_watches": True})
+        with pytest.raises(PlatformUnavailableError):
+            await pending
+
+        await plain.post("/_faults", json={"outage": True})
+        with pytest.raises(PlatformUnavailableError):
+            await platform.put("a", 3)
+        assert (await plain.post("/_faults", json={"outrage": True})).status_code == 400
+
+
+async def test_faults_end_after_their_duration() -> None:
+    now = 0.0
+    application = PlatformApplication(clock=lambda: now)
+    async with connect(application) as (platform, plain):
+        await plain.post("/_faults", json={"outage": True, "duration_s": 5})
+        with pytest.raises(PlatformUnavailableError):
+            await platform.get("a")
+        now = 5.0
+        assert await platform.get("a") is None
+
+
+async def test_calls_above_the_rate_are_refused_with_a_delay() -> None:
+    application = PlatformApplication(writes_per_s=1.0, clock=lambda: 0.0)
+    async with connect(application) as (platform, plain):
+        await platform.put("a", 1)
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await platform.put("a", 2)
+        assert caught.value.retry_after_s == 1.0
+        assert (await plain.get("/_counts")).json()["rejected"] == {"put": 1}
+
+
+async def test_malformed_requests_are_refused() -> None:
+    """Guard against a stand-in that fails where a platform would answer."""
+    async with serve(PlatformApplication()) as url, httpx.AsyncClient(base_url=url) as plain:
+        assert (await plain.put("/v1/objects/a", content=b"{")).status_code == 400
+        assert (await plain.put("/v1/objects/a", content=b"1" * 1_000_001)).status_code == 413
+        headers = {"if-match": "x"}
+        assert (await plain.put("/v1/objects/a", json=1, headers=headers)).status_code == 400
+        assert (await plain.get("/v1/watch?after=x")).status_code == 400
+        assert (await plain.get("/elsewhere")).status_code == 404
+
+
+@pytest.mark.parametrize(
+    ("answer", "of_read", "of_write"),
+    [
+        (NotSentError("x"), PlatformUnavailableError, PlatformUnavailableError),
+        (ResponseLostError("x"), PlatformUnavailableError, OutcomeUnknownError),
+        (FetchResponse(429, {"retry-after": "7"}, b""), PlatformUnavailableError, None),
+        (FetchResponse(503, {"retry-after": "nan"}, b""), PlatformUnavailableError, None),
+        (FetchResponse(500, {}, b""), PlatformUnavailableError, OutcomeUnknownError),
+        (FetchResponse(403, {}, b""), PlatformUnavailableError, PlatformUnavailableError),
+        (FetchResponse(200, {"etag": "x"}, b"1"), PlatformUnavailableError, OutcomeUnknownError),
+        (FetchResponse(200, {"etag": '"1"'}, b"{"), PlatformUnavailableError, OutcomeUnknownError),
+    ],
+)
+async def test_answers_map_to_errors(
+    answer: Exception | FetchResponse,
+    of_read: type[PlatformError],
+    of_write: type[PlatformError] | None,
+) -> None:
+    """Guard against a write of unknown outcome that is reported as without effect."""
+
+    async def fetch(
+        method: str, target: str, headers: Mapping[str, str], body: bytes, timeout_s: float
+    ) -> FetchResponse:
+        assert target == "/api/v1/objects/a%20b/c"
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    platform = HttpPlatform(fetch=fetch, base_url="http://h:1/api/")
+    with pytest.raises(of_read):
+        await platform.get("a b/c")
+    with pytest.raises(of_write or PlatformUnavailableError) as caught:
+        await platform.put("a b/c", 1)
+    if isinstance(answer, FetchResponse) and answer.status in (429, 503):
+        assert caught.value.retry_after_s == {429: 7.0, 503: 1.0}[answer.status]
