--- /dev/null
+++ b/src/ibiswick/_internal/compiler.py
@@ -0,0 +1,229 @@
+"""Compile a workspace and its templates into services and routes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from .errors import InvalidInputError, Problem
+from .records import Route, ServicePolicy
+from .schemas import check_document, check_value, name_source
+from .templates import (
+    Document,
+    Documents,
+    Item,
+    Rendered,
+    Template,
+    bind_parameters,
+    list_ancestors,
+    render_template,
+    resolve_template,
+)
+
+SERVICE_DEFAULTS = ServicePolicy(
+    preference="local-first", slots=6, connections=130, queue_ms=50, slow_start_ms=5000
+)
+ROUTE_DEFAULTS: dict[str, Any] = {
+    "host": "*",
+    "methods": [],
+    "idempotent": False,
+    "kind": "call",
+    "deadline_ms": 1000,
+    "retries": 2,
+    "hedge_ms": None,
+}
+# Bounds the work of a workspace that uses a large template many times.
+MAX_ROUTES = 5000
+
+
+class Compiled(NamedTuple):
+    """Hold the services and routes of one workspace; routes are in the order of their ids."""
+
+    services: dict[str, ServicePolicy]
+    routes: tuple[Route, ...]
+
+
+def compile_workspace(*, name: str, workspace: Any, templates: Mapping[str, Any]) -> Compiled:
+    """Check and compile one workspace; raise InvalidInputError with every fault.
+
+    `templates` maps the name of every template of the mesh to its document.
+    """
+    problems = check_document("workspace", name, workspace)
+    if not problems:
+        for use in workspace.get("templates", ()):
+            problems += _check_used(use["template"], templates)
+    if problems:
+        raise InvalidInputError(list(dict.fromkeys(problems)))
+    return compile_checked(name=name, workspace=workspace, templates=templates)
+
+
+def compile_checked(*, name: str, workspace: Document, templates: Documents) -> Compiled:
+    """Compile one workspace whose documents have the right shape; raise InvalidInputError."""
+    problems: list[Problem] = []
+    services, routes = _expand(name, workspace, templates, problems)
+    compiled_services = _collect_services(services, problems)
+    compiled_routes = _collect_routes(routes, compiled_services, problems)
+    if problems:
+        raise InvalidInputError(list(dict.fromkeys(problems)))
+    return Compiled(
+        {key: compiled_services[key] for key in sorted(compiled_services)},
+        tuple(compiled_routes[key] for key in sorted(compiled_routes)),
+    )
+
+
+def check_template(name: str, templates: Documents) -> list[Problem]:
+    """Return every fault of a template, whether or not a workspace uses it."""
+    problems = check_document("template", name, templates[name])
+    if problems:
+        return problems
+    try:
+        resolve_template(name, templates)
+    except InvalidInputError as error:
+        return list(error.problems)
+    return []
+
+
+def list_used_templates(workspace: Document, templates: Documents) -> set[str]:
+    """Return the names of the templates that a workspace uses, directly or by extension."""
+    used: set[str] = set()
+    for use in workspace.get("templates", ()):
+        used |= list_ancestors(use["template"], templates)
+    return used
+
+
+def _check_used(name: str, templates: Mapping[str, Any]) -> list[Problem]:
+    """Check the shape of a template and of all those that it extends."""
+    problems: list[Problem] = []
+    seen: set[str] = set()
+    pending = [name]
+    while pending:
+        current = pending.pop()
+        if current in seen or current not in templates:
+            continue
+        seen.add(current)
+        faults = check_document("template", current, templates[current])
+        problems += faults
+        if not faults:
+            pending += templates[current].get("extends", ())
+    return problems
+
+
+def _expand(
+    name: str, workspace: Document, templates: Documents, problems: list[Problem]
+) -> Rendered:
+    """Render every use of a template and add the workspace's own services and routes."""
+    source = name_source("workspace", name)
+    expanded = Rendered([], [])
+    resolved: dict[str, Template | None] = {}
+    for index, use in enumerate(workspace.get("templates", ())):
+        path = f"$.templates[{index}]"
+        if use["template"] not in templates:
+            expected = "the name of a template"
+            problems.append(Problem(source, f"{path}.template", expected, use["template"]))
+            continue
+        template = _resolve_once(use["template"], templates, resolved, problems)
+        if template is None:
+            continue
+        try:
+            values = bind_parameters(
+                template, use.get("parameters", {}), source=source, path=f"{path}.parameters"
+            )
+        except InvalidInputError as error:
+            problems += error.problems
+            continue
+        rendered = render_template(template, values)
+        expanded.services.extend(rendered.services)
+        expanded.routes.extend(rendered.routes)
+        if max(len(expanded.routes), len(expanded.services)) > MAX_ROUTES:
+            expected = f"at most {MAX_ROUTES} services and routes"
+            problems.append(Problem(source, path, expected, "more"))
+            return Rendered([], [])
+    expanded.services.extend(
+        Item(source, f"$.services.{key}", key, policy)
+        for key, policy in workspace.get("services", {}).items()
+    )
+    expanded.routes.extend(
+        Item(source, f"$.routes[{index}]", route["id"], route)
+        for index, route in enumerate(workspace.get("routes", ()))
+    )
+    return expanded
+
+
+def _resolve_once(
+    name: str,
+    templates: Documents,
+    resolved: dict[str, Template | None],
+    problems: list[Problem],
+) -> Template | None:
+    if name not in resolved:
+        try:
+            resolved[name] = resolve_template(name, templates)
+        except InvalidInputError as error:
+            problems += error.problems
+            resolved[name] = None
+    return resolved[name]
+
+
+def _collect_services(items: Iterable[Item], problems: list[Problem]) -> dict[str, ServicePolicy]:
+    services: dict[str, ServicePolicy] = {}
+    for item in items:
+        policy: Any = {**SERVICE_DEFAULTS, **item.value}
+        problems += check_value("service", policy, source=item.source, path=item.path)
+        problems += check_value("name", item.name, source=item.source, path=item.path)
+        # Two templates may both define a service that they share, but only in the same way.
+        if services.setdefault(item.name, policy) != policy:
+            expected = f"one definition of service {item.name}"
+            problems.append(Problem(item.source, item.path, expected, "another one that differs"))
+    return services
+
+
+def _collect_routes(
+    items: Iterable[Item],
+    services: dict[str, ServicePolicy],
+    problems: list[Problem],
+) -> dict[str, Route]:
+    routes: dict[str, Route] = {}
+    matches: dict[tuple[str, str], list[Route]] = {}
+    for item in items:
+        route: Any = {**ROUTE_DEFAULTS, **item.value}
+        faults = check_value("route", route, source=item.source, path=item.path)
+        if faults:
+            problems += faults
+            continue
+        route["methods"] = sorted(route["methods"])
+        problems += _check_route(item, route, services)
+        if routes.setdefault(route["id"], route) is not route:
+            path = f"{item.path}.id"
+            problems.append(Problem(item.source, path, "a route id used once", route["id"]))
+        others = matches.setdefault((route["host"], route["prefix"]), [])
+        problems += _check_overlap(item, route, others)
+        others.append(route)
+    return routes
+
+
+def _check_route(item: Item, route: Route, services: dict[str, ServicePolicy]) -> list[Problem]:
+    problems = []
+    if route["service"] not in services:
+        known = ", ".join(sorted(services)[:10]) or "none"
+        expected = f"a service of the workspace ({known})"
+        problems.append(Problem(item.source, f"{item.path}.service", expected, route["service"]))
+    if route["hedge_ms"] is not None and not (route["idempotent"] and route["kind"] == "call"):
+        expected = "no hedge delay, because only idempotent calls may be sent twice"
+        problems.append(
+            Problem(item.source, f"{item.path}.hedge_ms", expected, str(route["hedge_ms"]))
+        )
+    return problems
+
+
+def _check_overlap(item: Item, route: Route, others: Iterable[Route]) -> list[Problem]:
+    """Report routes between which the choice would be arbitrary.
+
+    A route for all methods may stand beside routes for single methods, which come first.
+    """
+    for other in others:
+        both_all = not route["methods"] and not other["methods"]
+        if both_all or set(route["methods"]) & set(other["methods"]):
+            place = f"{route['host']}{route['prefix']}"
+            expected = f"one route for each method of {place}"
+            return [Problem(item.source, item.path, expected, f"also route {other['id']}")]
+    return []
