Accept changes by conditional updates of the head

Changes that wait together share one update but keep their own generation and record, so that history and rollback stay exact and a refused change does not affect the others. An update whose answer was lost is repeated under the same condition; a conflict is then settled by walking the chain. A mark per change id bounds the walk that finds a change which was accepted before.

--- /dev/null
+++ b/src/ibiswick/_internal/blobs.py
@@ -0,0 +1,108 @@
+"""Read and write content-addressed objects."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any
+
+from .digests import compute_digest, encode_canonical
+from .errors import DamagedBlobError, OutcomeUnknownError, PlatformUnavailableError
+from .platform import Platform
+
+# Attempts of one read or write, so that a single refused or lost call does not fail a change.
+ATTEMPTS = 3
+RETRY_DELAY_S = 0.05
+# Calls at the same time: enough to hide the latency of a few milliseconds, few enough that one
+# change cannot use up the platform's rate.
+MAX_CONCURRENT_CALLS = 16
+CACHE_BYTES = 16_000_000
+
+
+class BlobStore:
+    """Keep values under `blobs/<digest>`, with a cache of what was read or written last."""
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        cache_bytes: int = CACHE_BYTES,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._platform = platform
+        self._cache_bytes = cache_bytes
+        self._sleep = sleep
+        self._cache: collections.OrderedDict[str, tuple[Any, int]] = collections.OrderedDict()
+        self._cached_bytes = 0
+
+    async def read(self, digest: str) -> Any:
+        """Return a value, which the caller must not change; raise DamagedBlobError."""
+        if digest in self._cache:
+            self._cache.move_to_end(digest)
+            return self._cache[digest][0]
+        stored = await self._retry(lambda: self._platform.get(f"blobs/{digest}"))
+        if stored is None:
+            raise DamagedBlobError(f"blob {digest} is missing")
+        if compute_digest(stored.value) != digest:
+            raise DamagedBlobError(f"blob {digest} has other content")
+        self._remember(digest, stored.value)
+        return stored.value
+
+    async def read_all(self, digests: Iterable[str]) -> dict[str, Any]:
+        """Return several values by digest."""
+        wanted = list(dict.fromkeys(digests))
+        values = await _gather_limited([lambda digest=d: self.read(digest) for d in wanted])
+        return dict(zip(wanted, values, strict=True))
+
+    async def write_all(self, values: Mapping[str, Any]) -> None:
+        """Write several values by digest; those that are known to exist cost no call."""
+        missing = [digest for digest in values if digest not in self._cache]
+        await _gather_limited(
+            [lambda digest=d: self._write(digest, values[digest]) for d in missing]
+        )
+
+    async def _write(self, digest: str, value: Any) -> None:
+        # Writing the same content again does no harm, so a lost answer is settled by a new attempt.
+        await self._retry(lambda: self._platform.put(f"blobs/{digest}", value))
+        self._remember(digest, value)
+
+    async def _retry(self, call: Callable[[], Awaitable[Any]]) -> Any:
+        for attempt in range(ATTEMPTS):
+            try:
+                return await call()
+            except PlatformUnavailableError:
+                if attempt == ATTEMPTS - 1:
+                    raise
+            except OutcomeUnknownError as error:
+                if attempt == ATTEMPTS - 1:
+                    # An unused blob is harmless, so the change as a whole had no effect.
+                    raise PlatformUnavailableError(error.detail) from error
+            await self._sleep(RETRY_DELAY_S * 2**attempt)
+        raise AssertionError("unreachable")
+
+    def _remember(self, digest: str, value: Any) -> None:
+        if digest in self._cache:
+            return
+        size = len(encode_canonical(value))
+        self._cache[digest] = (value, size)
+        self._cached_bytes += size
+        while self._cached_bytes > self._cache_bytes:
+            _, (_, dropped) = self._cache.popitem(last=False)
+            self._cached_bytes -= dropped
+
+
+async def _gather_limited(calls: list[Callable[[], Awaitable[Any]]]) -> list[Any]:
+    """Run calls with limited concurrency; the first error cancels the others."""
+    limit = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
+
+    async def run(call: Callable[[], Awaitable[Any]]) -> Any:
+        async with limit:
+            return await call()
+
+    try:
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(run(call)) for call in calls]
+    except BaseExceptionGroup as errors:
+        raise errors.exceptions[0] from None
+    return [task.result() for task in tasks]
--- /dev/null
+++ b/src/ibiswick/_internal/changes.py
@@ -0,0 +1,603 @@
+"""Accept changes of templates and workspaces by conditional updates of `live/head`.
+
+Each accepted change has its own generation and change record. Changes that wait at the same time
+share one update of the head, which then advances by several generations.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+from .blobs import BlobStore
+from .budgets import FairQueue
+from .digests import compute_digest, encode_canonical
+from .errors import (
+    ChangeConflictError,
+    ConflictError,
+    IbiswickError,
+    InvalidInputError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    Problem,
+)
+from .logs import EventLog
+from .plans import (
+    EMPTY_MANIFEST,
+    ChangeRequest,
+    Plan,
+    check_request,
+    find_digest,
+    list_documents,
+    list_touched,
+    plan_roll_back,
+    plan_steps,
+)
+from .platform import MAX_VALUE_BYTES, MUST_NOT_EXIST, Platform, StoredObject
+from .records import ChangeRecord, Difference, Head, Manifest, RecentChange
+
+__all__ = ["Acceptor", "ChangeRequest", "ChangeResult", "DocumentView", "plan_steps"]
+
+HEAD_KEY = "live/head"
+# What `recent` in the head covers; a root that missed more reads the manifest.
+RECENT_GENERATIONS = 16
+# Keeps the head below 3 KB even when changes of templates touch many workspaces.
+RECENT_SNAPSHOTS = 32
+# Changes that share one update of the head: at five writes each they use up the administration's
+# share of the platform in about a second.
+MAX_GROUP = 16
+# Updates of the head that one group may lose to other acceptors.
+MAX_RACES = 30
+# Attempts to find out what became of an update whose answer was lost; about 12 s with back-off.
+SETTLE_ATTEMPTS = 10
+# Reads of the head until it is at least as new as a conflict says that it is.
+FRESH_READ_ATTEMPTS = 5
+# How far back the version is looked for that a conflicting change is based on.
+MAX_SEARCHED_RECORDS = 500
+BACK_OFF_S = 0.05
+MAX_BACK_OFF_S = 2.0
+
+
+class ChangeResult(NamedTuple):
+    """Hold the outcome of a change; a dry run states the generation that it was checked against."""
+
+    change_id: str
+    generation: int
+    snapshots: dict[str, str]
+    differences: tuple[Difference, ...]
+
+
+class DocumentView(NamedTuple):
+    """Hold a document as it was at a generation."""
+
+    kind: str
+    name: str
+    digest: str
+    generation: int
+    document: dict[str, Any]
+
+
+class _State(NamedTuple):
+    """Hold what one version of the head refers to; before the first change it is empty."""
+
+    version: int
+    generation: int
+    record: str | None
+    recent: list[RecentChange]
+    manifest: Manifest
+
+
+class _Pending:
+    """Hold one submitted change until it has an outcome."""
+
+    def __init__(self, request: ChangeRequest, target: int | None) -> None:
+        self.request = request
+        self.target = target
+        self.fingerprint = _compute_fingerprint(request, target)
+        self.outcome: asyncio.Future[ChangeResult] = asyncio.get_running_loop().create_future()
+
+    def succeed(self, result: ChangeResult) -> None:
+        if not self.outcome.done():
+            self.outcome.set_result(result)
+
+    def fail(self, error: BaseException) -> None:
+        if not self.outcome.done():
+            self.outcome.set_exception(error)
+            # Nobody may be waiting any more; that is no reason for a warning by asyncio.
+            self.outcome.exception()
+
+
+class _Group(NamedTuple):
+    """Hold what one update of the head would accept, and the changes that it would refuse."""
+
+    head: Head | None
+    blobs: dict[str, Any]
+    accepted: list[tuple[_Pending, ChangeResult]]
+    refused: list[tuple[_Pending, IbiswickError]]
+
+
+class Acceptor:
+    """Accept changes, alone or against other acceptors on the same platform.
+
+    `gather_s` is how long a change waits for others to share an update of the head with. `clock`
+    returns seconds since 1970.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        gather_s: float = 0.0,
+        clock: Callable[[], float] = time.time,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self._platform = platform
+        self._gather_s = gather_s
+        self._clock = clock
+        self._sleep = sleep
+        self._random = random_source if random_source is not None else random.Random()
+        self._blobs = BlobStore(platform=platform, sleep=sleep)
+        self._queue: FairQueue[_Pending] = FairQueue()
+        self._pending: dict[str, _Pending] = {}
+        self._worker: asyncio.Task[None] | None = None
+        self._log = EventLog(component="changes")
+
+    async def submit(self, request: ChangeRequest) -> ChangeResult:
+        """Accept a change and return its generation; the same change id has the same outcome.
+
+        Raises InvalidInputError and ChangeConflictError for a change that is refused,
+        PlatformUnavailableError for one that had no effect, and OutcomeUnknownError for one that
+        must be submitted again with its change id to learn its outcome.
+        """
+        request = _normalize(request)
+        check_request(request)
+        if request.dry_run:
+            return await self._check(request, None)
+        if not request.templates and not request.workspaces:
+            raise InvalidInputError([Problem("request", "$", "a template or a workspace", "none")])
+        return await self._enqueue(_Pending(request, None))
+
+    async def roll_back(
+        self, generation: int, author: str, change_id: str, *, dry_run: bool = False
+    ) -> ChangeResult:
+        """Accept a new generation with the documents of an older one."""
+        note = f"roll back to generation {generation}"
+        request = ChangeRequest(change_id, author, note, dry_run=dry_run)
+        check_request(request)
+        if dry_run:
+            return await self._check(request, generation)
+        return await self._enqueue(_Pending(request, generation))
+
+    async def read_head(self) -> StoredObject | None:
+        """Return `live/head`, or None before the first change."""
+        return await self._platform.get(HEAD_KEY)
+
+    async def read_manifest(self, head: StoredObject | None) -> Manifest:
+        """Return the manifest that a head refers to."""
+        if head is None:
+            return EMPTY_MANIFEST
+        manifest: Manifest = await self._blobs.read(head.value["manifest"])
+        return manifest
+
+    async def read_history(
+        self, before_generation: int | None = None, limit: int = 50
+    ) -> list[ChangeRecord]:
+        """Return accepted changes below a generation, the newest first."""
+        found: list[ChangeRecord] = []
+        head = await self.read_head()
+        async for record in self._walk(None if head is None else head.value["change"]):
+            if len(found) >= limit:
+                break
+            if before_generation is None or record["generation"] < before_generation:
+                found.append(record)
+        return found
+
+    async def read_document(
+        self, kind: str, name: str, generation: int | None = None
+    ) -> DocumentView | None:
+        """Return a template or a workspace, now or at a generation, or None when it is missing."""
+        head = await self.read_head()
+        if head is None:
+            return None
+        manifest = await self.read_manifest(head)
+        if generation is None:
+            generation = head.value["generation"]
+        else:
+            manifest = await self._read_old_manifest(head.value["change"], generation)
+        digest = find_digest(manifest, f"{kind}/{name}")
+        if digest is None:
+            return None
+        return DocumentView(kind, name, digest, generation, await self._blobs.read(digest))
+
+    async def _check(self, request: ChangeRequest, target: int | None) -> ChangeResult:
+        """Plan a change on the current head without a write."""
+        state = await self._read_state()
+        plan = await self._plan(_Pending(request, target), state.manifest, state)
+        return ChangeResult(request.change_id, state.generation, plan.snapshots, plan.differences)
+
+    async def _enqueue(self, pending: _Pending) -> ChangeResult:
+        change_id = pending.request.change_id
+        earlier = self._pending.get(change_id)
+        if earlier is None:
+            self._pending[change_id] = pending
+            pending.outcome.add_done_callback(lambda _: self._pending.pop(change_id, None))
+            touched = list_touched(pending.request)
+            # A change of several documents waits in the queue of the last, which is a workspace
+            # unless it touches templates only.
+            self._queue.push(touched[-1] if touched else "", pending)
+            if self._worker is None:
+                self._worker = asyncio.create_task(self._work())
+        elif earlier.fingerprint != pending.fingerprint:
+            raise _report_reused_id(change_id)
+        else:
+            pending = earlier
+        # A caller that goes away must not cancel the change for others with the same change id.
+        return await asyncio.shield(pending.outcome)
+
+    async def _work(self) -> None:
+        try:
+            while len(self._queue):
+                if self._gather_s:
+                    await self._sleep(self._gather_s)
+                batch = [self._queue.pop() for _ in range(min(len(self._queue), MAX_GROUP))]
+                await self._finish(batch)
+        finally:
+            self._worker = None
+
+    async def _finish(self, batch: list[_Pending]) -> None:
+        """Give every change of a batch its outcome, whatever happens."""
+        try:
+            await self._commit(batch)
+        except Exception as error:
+            if not isinstance(error, IbiswickError):
+                self._log.error("change-failed", detail=repr(error))
+            for pending in batch:
+                pending.fail(error)
+        except asyncio.CancelledError:
+            # The update of the head may be on its way.
+            for pending in batch:
+                pending.fail(OutcomeUnknownError("the acceptor was stopped"))
+            raise
+
+    async def _commit(self, batch: list[_Pending]) -> None:
+        state = await self._read_state()
+        remaining = await self._claim(batch, state)
+        for race in range(MAX_RACES):
+            if not remaining:
+                return
+            group = await self._plan_group(state, remaining)
+            await self._blobs.write_all(group.blobs)
+            newest = await self._swap_head(state, group)
+            if newest is None:
+                self._resolve(group)
+                return
+            state, remaining = await self._rebase(state, newest, remaining)
+            await self._back_off(race)
+        raise PlatformUnavailableError(f"lost {MAX_RACES} races against other acceptors")
+
+    async def _claim(self, batch: list[_Pending], state: _State) -> list[_Pending]:
+        """Mark the change ids as attempted and return the changes not accepted before.
+
+        The mark `changes/<change id>` names the generation of the head that the first attempt was
+        based on. An accepted change is above it in the chain, so that looking for one costs a walk
+        only for change ids that were attempted before.
+        """
+        since = await asyncio.gather(*(self._mark(pending, state) for pending in batch))
+        repeated = [generation for generation in since if generation is not None]
+        if not repeated:
+            return batch
+        return await self._resolve_accepted(batch, state.record, above=min(repeated))
+
+    async def _mark(self, pending: _Pending, state: _State) -> int | None:
+        """Return the generation of an earlier attempt, or None for the first one."""
+        key = f"changes/{pending.request.change_id}"
+        for attempt in range(FRESH_READ_ATTEMPTS):
+            try:
+                await self._platform.put(key, {"since": state.generation}, expected=MUST_NOT_EXIST)
+                return None
+            except ConflictError:
+                found = await self._platform.get(key)
+                if found is not None:
+                    since: int = found.value["since"]
+                    return since
+            except OutcomeUnknownError:
+                pass
+            await self._back_off(attempt)
+        raise PlatformUnavailableError(f"no certain answer about {key}")
+
+    async def _plan_group(self, state: _State, batch: list[_Pending]) -> _Group:
+        """Plan changes one on top of the other; one that is refused does not affect the others."""
+        group = _Group(None, {}, [], [])
+        manifest, record_digest, recent = state.manifest, state.record, list(state.recent)
+        generation = state.generation
+        for pending in batch:
+            try:
+                plan = await self._plan(
+                    pending, manifest, state, generation=generation + 1, added=group.blobs
+                )
+                record = self._build_record(pending, plan, generation + 1, record_digest)
+                _check_sizes(record, plan.manifest)
+            except (InvalidInputError, ChangeConflictError) as error:
+                group.refused.append((pending, error))
+                continue
+            generation += 1
+            manifest = plan.manifest
+            record_digest = compute_digest(record)
+            group.blobs.update(plan.blobs)
+            group.blobs[record["manifest"]] = manifest
+            group.blobs[record_digest] = record
+            recent.append(_build_recent(record))
+            group.accepted.append((pending, _build_result(record, plan.differences)))
+        if record_digest is None or not group.accepted:
+            return group
+        head = Head(
+            generation=generation,
+            change=record_digest,
+            manifest=compute_digest(manifest),
+            recent=_trim_recent(recent),
+        )
+        return group._replace(head=head)
+
+    async def _plan(
+        self,
+        pending: _Pending,
+        manifest: Manifest,
+        state: _State,
+        *,
+        generation: int | None = None,
+        added: Mapping[str, Any] | None = None,
+    ) -> Plan:
+        """Plan one change on a manifest, of which `added` holds what is not yet written."""
+        request, added = pending.request, added or {}
+        documents = await self._read_documents(list_documents(manifest), added)
+        if pending.target is None:
+            documents |= await self._read_bases(request, manifest, state.record)
+        else:
+            old = await self._read_old_manifest(state.record, pending.target)
+            documents |= await self._read_documents(list_documents(old), added)
+            request = plan_roll_back(manifest, old, documents, request)
+        steps = plan_steps(
+            manifest,
+            documents,
+            request,
+            generation=state.generation + 1 if generation is None else generation,
+        )
+        while True:
+            try:
+                next(steps)
+            except StopIteration as stop:
+                plan: Plan = stop.value
+                return plan
+            await asyncio.sleep(0)
+
+    async def _read_documents(self, digests: list[str], added: Mapping[str, Any]) -> dict[str, Any]:
+        documents = {digest: added[digest] for digest in digests if digest in added}
+        return documents | await self._blobs.read_all(set(digests) - documents.keys())
+
+    async def _read_bases(
+        self, request: ChangeRequest, manifest: Manifest, newest: str | None
+    ) -> dict[str, Any]:
+        """Return the outdated documents that a change is based on, to tell the differences.
+
+        Only earlier versions of the very document count, because the digest of any other blob would
+        otherwise show its content to an operator who may not read it.
+        """
+        outdated = {
+            (key, base)
+            for key, base in request.base.items()
+            if base is not None and find_digest(manifest, key) != base
+        }
+        found = {}
+        searched = 0
+        async for record in self._walk(newest):
+            searched += 1
+            if not outdated or searched > MAX_SEARCHED_RECORDS:
+                break
+            if not any(key in record["touched"] for key, _ in outdated):
+                continue
+            then = await self._blobs.read(record["manifest"])
+            for key, base in list(outdated):
+                if find_digest(then, key) == base:
+                    found[base] = await self._blobs.read(base)
+                    outdated.discard((key, base))
+        return found
+
+    def _build_record(
+        self, pending: _Pending, plan: Plan, generation: int, previous: str | None
+    ) -> ChangeRecord:
+        return ChangeRecord(
+            generation=generation,
+            change_id=pending.request.change_id,
+            author=pending.request.author,
+            time=self._clock(),
+            note=pending.request.note,
+            touched=plan.touched,
+            request=pending.fingerprint,
+            snapshots=plan.snapshots,
+            manifest=compute_digest(plan.manifest),
+            previous=previous,
+        )
+
+    async def _swap_head(self, state: _State, group: _Group) -> int | None:
+        """Update the head; return None on success or the version that was there instead.
+
+        An update whose answer was lost is tried again with the same condition: at most one of the
+        attempts can take effect, and a conflict then tells that the head has moved on.
+        """
+        if group.head is None:
+            return None
+        unknown = False
+        for attempt in range(SETTLE_ATTEMPTS):
+            try:
+                await self._platform.put(HEAD_KEY, group.head, expected=state.version)
+                return None
+            except ConflictError as error:
+                if not unknown:
+                    return error.current
+                return await self._settle(state, group, error.current)
+            except OutcomeUnknownError:
+                unknown = True
+            except PlatformUnavailableError:
+                if not unknown:
+                    raise
+            await self._back_off(attempt)
+        raise OutcomeUnknownError("the platform did not tell whether the change was accepted")
+
+    async def _settle(self, state: _State, group: _Group, version: int) -> int | None:
+        """Find out whether a conflict is with an earlier attempt of this very update."""
+        assert group.head is not None
+        try:
+            newest = await self._read_state(at_least=version)
+            async for record in self._walk(newest.record, above=state.generation):
+                if compute_digest(record) == group.head["change"]:
+                    return None
+        except PlatformUnavailableError as error:
+            raise OutcomeUnknownError(error.detail) from error
+        return version
+
+    async def _rebase(
+        self, state: _State, version: int, batch: list[_Pending]
+    ) -> tuple[_State, list[_Pending]]:
+        """Return the newest state and the changes that another acceptor has not accepted."""
+        newest = await self._read_state(at_least=version)
+        remaining = await self._resolve_accepted(batch, newest.record, above=state.generation)
+        return newest, remaining
+
+    async def _resolve_accepted(
+        self, batch: list[_Pending], newest: str | None, *, above: int
+    ) -> list[_Pending]:
+        """Give changes that are in the chain their outcome and return the others."""
+        by_id = {pending.request.change_id: pending for pending in batch}
+        async for record in self._walk(newest, above=above):
+            pending = by_id.pop(record["change_id"], None)
+            if pending is None:
+                continue
+            if record["request"] != pending.fingerprint:
+                pending.fail(_report_reused_id(record["change_id"]))
+            else:
+                pending.succeed(_build_result(record, ()))
+        return list(by_id.values())
+
+    def _resolve(self, group: _Group) -> None:
+        for pending, result in group.accepted:
+            self._log.info(
+                "change-accepted", change_id=result.change_id, generation=result.generation
+            )
+            pending.succeed(result)
+        for pending, error in group.refused:
+            self._log.info("change-refused", change_id=pending.request.change_id, code=error.code)
+            pending.fail(error)
+
+    async def _read_state(self, *, at_least: int = 0) -> _State:
+        """Read the head, at the given version or a newer one."""
+        for attempt in range(FRESH_READ_ATTEMPTS):
+            stored = await self.read_head()
+            if stored is None and at_least == 0:
+                return _State(MUST_NOT_EXIST, 0, None, [], EMPTY_MANIFEST)
+            if stored is not None and stored.version >= at_least:
+                head: Head = stored.value
+                manifest = await self.read_manifest(stored)
+                return _State(
+                    stored.version, head["generation"], head["change"], head["recent"], manifest
+                )
+            await self._back_off(attempt)
+        raise PlatformUnavailableError("the platform returns an outdated head")
+
+    async def _read_old_manifest(self, newest: str | None, generation: int) -> Manifest:
+        async for record in self._walk(newest):
+            if record["generation"] == generation:
+                manifest: Manifest = await self._blobs.read(record["manifest"])
+                return manifest
+            if record["generation"] < generation:
+                break
+        raise InvalidInputError(
+            [Problem("request", "$.generation", "an accepted generation", str(generation))]
+        )
+
+    async def _walk(self, digest: str | None, *, above: int = 0) -> AsyncIterator[ChangeRecord]:
+        """Yield change records above a generation, the newest first."""
+        while digest is not None:
+            record: ChangeRecord = await self._blobs.read(digest)
+            if record["generation"] <= above:
+                return
+            yield record
+            digest = record["previous"]
+
+    async def _back_off(self, attempt: int) -> None:
+        await self._sleep(self._random.uniform(0, min(BACK_OFF_S * 2**attempt, MAX_BACK_OFF_S)))
+
+
+def _normalize(request: ChangeRequest) -> ChangeRequest:
+    """Copy the documents in the form in which the platform returns them.
+
+    A document that is not JSON stays as it is, and its check reports it.
+    """
+    return request._replace(
+        templates={name: _copy(document) for name, document in request.templates.items()},
+        workspaces={name: _copy(document) for name, document in request.workspaces.items()},
+        base=dict(request.base),
+    )
+
+
+def _copy(document: Any) -> Any:
+    try:
+        return msgspec.json.decode(msgspec.json.encode(document))
+    except (msgspec.MsgspecError, TypeError, ValueError, OverflowError, RecursionError):
+        return document
+
+
+def _compute_fingerprint(request: ChangeRequest, target: int | None) -> str:
+    try:
+        return compute_digest(
+            {"templates": request.templates, "workspaces": request.workspaces, "target": target}
+        )
+    except (msgspec.MsgspecError, TypeError, ValueError, OverflowError, RecursionError):
+        # The documents are not JSON, so the change will be refused.
+        return ""
+
+
+def _report_reused_id(change_id: str) -> InvalidInputError:
+    expected = "a change id that no other change has used"
+    return InvalidInputError([Problem("request", "$.change_id", expected, change_id)])
+
+
+def _check_sizes(record: ChangeRecord, manifest: Manifest) -> None:
+    """Refuse a change whose record or manifest the platform would not take.
+
+    The documents and snapshots themselves are checked when the change is planned.
+    """
+    for path, value in (("$.touched", record), ("$.manifest", manifest)):
+        size = len(encode_canonical(value))
+        if size > MAX_VALUE_BYTES:
+            expected = f"at most {MAX_VALUE_BYTES} bytes for all names"
+            raise InvalidInputError([Problem("request", path, expected, f"{size} bytes")])
+
+
+def _build_recent(record: ChangeRecord) -> RecentChange:
+    return RecentChange(
+        generation=record["generation"],
+        change_id=record["change_id"],
+        snapshots=record["snapshots"],
+    )
+
+
+def _build_result(record: ChangeRecord, differences: tuple[Difference, ...]) -> ChangeResult:
+    return ChangeResult(record["change_id"], record["generation"], record["snapshots"], differences)
+
+
+def _trim_recent(recent: list[RecentChange]) -> list[RecentChange]:
+    """Keep the newest generations, as many as fit; the newest one is always kept."""
+    kept: list[RecentChange] = []
+    snapshots = 0
+    for change in reversed(recent[-RECENT_GENERATIONS:]):
+        snapshots += len(change["snapshots"])
+        if kept and snapshots > RECENT_SNAPSHOTS:
+            break
+        kept.append(change)
+    return kept[::-1]
--- a/src/ibiswick/_internal/errors.py
+++ b/src/ibiswick/_internal/errors.py
@@ -7,6 +7,8 @@
 
 from typing import ClassVar, NamedTuple
 
+from .records import DocumentConflict
+
 
 class Problem(NamedTuple):
     """Describe one fault in an input document."""
@@ -79,6 +81,23 @@
         self.current = current
 
 
+class ChangeConflictError(ConflictError):
+    """Report a change based on documents that others changed; `current` is the generation."""
+
+    code = "change-conflict"
+
+    def __init__(self, conflicts: tuple[DocumentConflict, ...], *, current: int) -> None:
+        names = ", ".join(conflict.document for conflict in conflicts)
+        super().__init__(f"changed by others since: {names}", current=current)
+        self.conflicts = conflicts
+
+
+class DamagedBlobError(PlatformError):
+    """Report a content-addressed object that is missing or does not match its digest."""
+
+    code = "damaged-blob"
+
+
 class ValueTooLargeError(PlatformError):
     """Report a value that the platform does not take because of its size."""
 
--- a/src/ibiswick/_internal/records.py
+++ b/src/ibiswick/_internal/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import IntEnum, StrEnum
-from typing import Literal, NamedTuple, TypedDict
+from typing import Any, Literal, NamedTuple, TypedDict
 
 
 class ServicePolicy(TypedDict):
@@ -179,6 +179,44 @@
     workspaces: dict[str, ManifestWorkspace]
 
 
+class ChangeRecord(TypedDict):
+    """Record one accepted change; `previous` is the digest of the preceding record.
+
+    `time` is in seconds since 1970, `touched` holds "template/NAME" or "workspace/NAME", `request`
+    is the digest of what was asked for, and `snapshots` maps each workspace whose snapshot changed
+    to the new digest.
+    """
+
+    generation: int
+    change_id: str
+    author: str
+    time: float
+    note: str
+    touched: list[str]
+    request: str
+    snapshots: dict[str, str]
+    manifest: str
+    previous: str | None
+
+
+class Difference(NamedTuple):
+    """Describe one place where two versions of a document differ; None is absent."""
+
+    document: str
+    path: str
+    before: Any
+    after: Any
+
+
+class DocumentConflict(NamedTuple):
+    """Tell how a document differs from the version that a change is based on."""
+
+    document: str
+    base: str | None
+    current: str | None
+    differences: tuple[Difference, ...]
+
+
 class Lease(TypedDict):
     """Content of `leases/<availability zone>/<n>`."""
 
--- a/src/ibiswick/_internal/schemas.py
+++ b/src/ibiswick/_internal/schemas.py
@@ -26,6 +26,14 @@
 MAX_RETRIES = 2
 _MAX_FOUND = 80
 
+_RULE_NAMES = {
+    "minimum": "at least",
+    "maximum": "at most",
+    "pattern": "a string that matches",
+    "maxLength": "a string of a length of at most",
+    "maxItems": "a list of a length of at most",
+}
+
 Schema = dict[str, Any]
 
 _TEXT: Schema = {"type": "string", "maxLength": MAX_TEXT}
@@ -215,7 +223,7 @@
         return f"one of {', '.join(limit)}"
     if rule == "pattern" and limit == _PLACEHOLDER_PATTERN:
         return f"{error.schema['type'][0]} or a placeholder"
-    return f"{rule} {limit}"
+    return f"{_RULE_NAMES.get(rule, rule)} {limit}"
 
 
 def _found(error: Any) -> str:
