Add the control plane: one tree per availability zone and workspace

Nodes need a way to get configuration and endpoints without a server tier, so the protocol is a state machine (`agent.Agent`: events in, actions out) with one part for each role: seeking a parent, admitting children, holding a zone-root lease, exchanging members between roots, confirming floors. `control.ControlPlane` drives it with websockets, the platform and one timer; `ibiswick-node` runs it beside the data plane.

--- /dev/null
+++ b/src/ibiswick/_internal/actions.py
@@ -0,0 +1,48 @@
+"""Define what the control plane's state machines ask their driver to do."""
+
+from __future__ import annotations
+
+from typing import Any, Literal, NamedTuple, TypeAlias
+
+from .messages import Message
+
+
+class Connect(NamedTuple):
+    """Open a link."""
+
+    link: int
+    host: str
+    port: int
+
+
+class Send(NamedTuple):
+    """Send a message on a link."""
+
+    link: int
+    message: Message
+
+
+class Close(NamedTuple):
+    """Close a link."""
+
+    link: int
+    reason: str
+
+
+class CallPlatform(NamedTuple):
+    """Call a method of `Platform` and report the result, or the error, under the call's number."""
+
+    call: int
+    method: Literal["get", "put", "delete", "list", "watch"]
+    arguments: dict[str, Any]
+
+
+class Log(NamedTuple):
+    """Log an event."""
+
+    level: Literal["debug", "info", "warn", "error"]
+    event: str
+    fields: dict[str, Any]
+
+
+Action: TypeAlias = Connect | Send | Close | CallPlatform | Log
--- /dev/null
+++ b/src/ibiswick/_internal/agent.py
@@ -0,0 +1,624 @@
+"""Drive the control plane of one node as a state machine: events in, actions out."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from .actions import Action
+from .blackboard import Blackboard
+from .children import Children
+from .configuration import Configuration
+from .context import SELF, Context, Link, Role
+from .directory import Directory
+from .errors import MessageError
+from .leases import LeaseKeeper
+from .membership import build_endpoints, refute_record, select_members
+from .messages import (
+    Accept,
+    DeltaSnapshot,
+    Drain,
+    Floor,
+    FloorRequest,
+    FullSnapshot,
+    GenerationReport,
+    GenerationRequest,
+    Heartbeat,
+    Interest,
+    Join,
+    Members,
+    MembersRequest,
+    Message,
+    Position,
+    Promote,
+    Redirect,
+    Refuse,
+    Report,
+    RootJoin,
+    SnapshotRequest,
+)
+from .parent import ParentSeeker
+from .records import Member, MemberState, Phase
+from .relay import SendGate, SnapshotHistory, list_routed_services
+from .reports import build_report
+from .root import RootRole
+from .settings import NodeSettings
+from .tls import Identity
+
+# The longest time between two ticks; except for gathered changes, timers are no finer than this.
+TICK_S = 0.25
+FLOOR_RETRY_S = 1.0
+EXPIRE_INTERVAL_S = 1.0
+# Records per message, so that a message stays far below its limit.
+MAX_MEMBERS_PER_MESSAGE = 2000
+# The endpoint lists are rebuilt at most so often, except when a member leaves.
+ENDPOINTS_GATHER_S = 0.02
+
+
+class Agent:
+    """Act for one node in the control plane.
+
+    The driver calls one method for each event and then executes `take_actions()`.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        board: Blackboard,
+        random_source: random.Random,
+        own: Member,
+    ) -> None:
+        self.ctx = Context(settings=settings, board=board, random_source=random_source, own=own)
+        ctx = self.ctx
+        self._settings = settings
+        self._board = board
+        keeper = LeaseKeeper(
+            vm=own.vm,
+            slots=settings.zone_roots,
+            lease_s=settings.lease_s,
+            renew_s=settings.lease_s / 3,
+        )
+        self.directory = Directory(ctx, keeper)
+        self.configuration = Configuration(ctx)
+        self.root = RootRole(
+            ctx,
+            keeper=keeper,
+            directory=self.directory,
+            configuration=self.configuration,
+            notice_taken=self._notice_lease_taken,
+            notice_lost=self._notice_lease_lost,
+            notice_not_taken=lambda now: self.parent.resume(now),
+            notice_snapshot=self._notice_snapshot,
+        )
+        self.parent = ParentSeeker(
+            ctx,
+            directory=self.directory,
+            configuration=self.configuration,
+            take_lease=self.root.take_free_lease,
+        )
+        self.children = Children(ctx, histories=self.root.get_history)
+        self._endpoints_gate = SendGate(gather_s=min(settings.gather_s, ENDPOINTS_GATHER_S))
+        self._endpoints_of: tuple[int, int] = (-1, -1)
+        self._relayed_generation = 0
+        self._floor_at = 0.0
+        self._expire_at = 0.0
+        self._leave_at: float | None = None
+        self._report: Report | None = None
+        self._report_link: Link | None = None
+        self._silent: set[int] = set()
+        self._handlers: dict[type[Any], Callable[[Link, Any, float], None]] = {
+            Accept: self._on_accept,
+            Redirect: self._on_redirect,
+            Refuse: self._on_refuse,
+            Position: self._on_position,
+            FullSnapshot: self._on_snapshot,
+            DeltaSnapshot: self._on_snapshot,
+            Floor: self._on_floor,
+            Drain: self._on_drain,
+            Promote: self._on_promote,
+            Join: self._on_join,
+            SnapshotRequest: self._on_snapshot_request,
+            Report: self._on_report,
+            FloorRequest: self._on_floor_request,
+            RootJoin: self._on_root_join,
+            Interest: self._on_interest,
+            GenerationRequest: self._on_generation_request,
+            GenerationReport: self._on_generation_report,
+            Heartbeat: self._on_heartbeat,
+            Members: self._on_members,
+            MembersRequest: self._on_members_request,
+        }
+
+    # Events
+
+    def start(self, now: float) -> None:
+        """Begin to look for a parent."""
+        self.ctx.now = now
+        self.ctx.update_own(self.ctx.own, now)
+        self.parent.start(now)
+
+    def stop(self, now: float) -> None:
+        """Close every link."""
+        self.ctx.now = now
+        self.parent.stop("stopping")
+        for link in list(self.ctx.links.values()):
+            self.ctx.close(link, "stopping")
+
+    def accept_link(self, number: int, identity: Identity | None, now: float) -> None:
+        """Take a link that another node opened; such links have even numbers."""
+        link = Link(number, Role.NEW, now=now)
+        link.identity = identity
+        self.ctx.links[number] = link
+
+    def notice_opened(self, number: int, identity: Identity | None, now: float) -> None:
+        """Note that a link which this node opened is ready."""
+        self.ctx.now = now
+        link = self.ctx.links.get(number)
+        if link is None:
+            return
+        link.identity = identity
+        link.received_at = now
+        if link.role is Role.PARENT:
+            self.parent.notice_opened(link, now)
+        else:
+            self.root.peers.greet(link, now)
+        self._settle(now)
+
+    def notice_closed(self, number: int, now: float) -> None:
+        """Note that a link is closed or could not be opened."""
+        self.ctx.now = now
+        link = self.ctx.links.pop(number, None)
+        if link is None:
+            return
+        silent = number in self._silent
+        self._silent.discard(number)
+        self.ctx.table.mark_stale(number, now)
+        if link.admitted:
+            self.ctx.log("info", "link-lost", role=link.role.value, vm=link.vm)
+        if link.role is Role.CHILD and self.ctx.find_link(Role.CHILD, link.vm) is None:
+            self.children.notice_closed(link, now, silent=silent)
+        if link.role is Role.PARENT:
+            self.parent.notice_closed(link, now)
+        self._settle(now)
+
+    def receive(self, number: int, message: Message, now: float) -> None:
+        """Handle a message; a wrong one closes its link and nothing else."""
+        self.ctx.now = now
+        link = self.ctx.links.get(number)
+        if link is None:
+            return
+        link.received_at = now
+        try:
+            self._handlers[type(message)](link, message, now)
+        except MessageError as error:
+            self.reject(number, error, now)
+        self._settle(now)
+
+    def reject(self, number: int, error: MessageError, now: float) -> None:
+        """Close the link of a peer that sent a bad message."""
+        link = self.ctx.links.get(number)
+        if link is None:
+            return
+        self.ctx.log("warn", "message-refused", vm=link.vm, code=error.code, detail=error.detail)
+        self.ctx.close(link, error.code)
+
+    def finish_call(self, call: int, result: Any, now: float) -> None:
+        """Take the result of a platform call, or its exception."""
+        self.ctx.now = now
+        self.ctx.finish_call(call, result, now)
+        self._settle(now)
+
+    def tick(self, now: float) -> None:
+        """Let timers run."""
+        self.ctx.now = now
+        self._update_state(now)
+        self._check_links(now)
+        self._tick_floor(now)
+        self.parent.tick(now)
+        self.root.tick(now)
+        self._expire_members(now)
+        self._tick_leave(now)
+        self._settle(now)
+
+    def take_actions(self) -> list[Action]:
+        """Return what the driver must do."""
+        return self.ctx.take_actions()
+
+    def get_wake(self, now: float) -> float:
+        """Return when `tick` must be called next at the latest."""
+        dues = (self.ctx.outbox.due, self._endpoints_gate.due, self.root.heads.get_due())
+        return min((now + TICK_S, *(due for due in dues if due is not None)))
+
+    # Messages from a parent
+
+    def _on_accept(self, link: Link, message: Accept, now: float) -> None:
+        if link is not self.parent.link:
+            return
+        self.parent.accept(link, message, now)
+        self._floor_at = now
+        self.ctx.outbox.note(now, at_once=True)
+
+    def _on_redirect(self, link: Link, message: Redirect, now: float) -> None:
+        if link is self.parent.link:
+            self.parent.redirect(message, now)
+
+    def _on_refuse(self, link: Link, message: Refuse, now: float) -> None:
+        if link is self.parent.link:
+            self.parent.refuse(message, now)
+
+    def _on_position(self, link: Link, message: Position, now: float) -> None:
+        if self._is_parent(link):
+            self.parent.move(message, now)
+
+    def _on_snapshot(self, link: Link, message: FullSnapshot | DeltaSnapshot, now: float) -> None:
+        if not self._is_parent(link):
+            return
+        if self.configuration.receive(message):
+            self.ctx.send(link, SnapshotRequest(self.configuration.generation), now)
+        # The parent learns of a refusal as well as of an applied generation.
+        self.ctx.outbox.note(now)
+
+    def _on_floor(self, link: Link, message: Floor, now: float) -> None:
+        if not self._is_parent(link):
+            return
+        if (message.vm, message.incarnation) == self._floor_key:
+            self.configuration.set_floor(message.generation, message.rule)
+        else:
+            self.children.forward_floor(message, now)
+
+    def _on_drain(self, link: Link, message: Drain, now: float) -> None:
+        if not self._is_parent(link):
+            return
+        if message.vm == self.ctx.own.vm:
+            self._board.drain.set(True)
+        else:
+            self.children.forward_drain(message, now)
+
+    def _on_promote(self, link: Link, message: Promote, now: float) -> None:
+        if self._is_parent(link):
+            self.root.consider_promotion(message, now)
+
+    # Messages from a child
+
+    def _on_join(self, link: Link, message: Join, now: float) -> None:
+        if link.role is not Role.NEW:
+            raise MessageError("a second join on one link")
+        if self.children.join(link, message, now) and self.ctx.is_root:
+            self.root.heads.carry(now)
+
+    def _on_snapshot_request(self, link: Link, message: SnapshotRequest, now: float) -> None:
+        if self._is_child(link):
+            self.children.resend_snapshot(link, message, now)
+
+    def _on_report(self, link: Link, message: Report, now: float) -> None:
+        if self._is_child(link):
+            self.children.take_report(link, message, now)
+
+    def _on_floor_request(self, link: Link, message: FloorRequest, now: float) -> None:
+        if not self._is_child(link):
+            return
+        if self.ctx.is_root:
+            self.root.request_floor(message, link=link)
+        elif self.parent.link is not None and self.parent.link.established:
+            self.children.note_floor_way(link, message)
+            self.ctx.send(self.parent.link, message, now)
+
+    # Messages between roots
+
+    def _on_root_join(self, link: Link, message: RootJoin, now: float) -> None:
+        if link.role not in (Role.NEW, Role.PEER) or link.established:
+            raise MessageError("a second join on one link")
+        self.root.peers.join(link, message, now)
+
+    def _on_interest(self, link: Link, message: Interest, now: float) -> None:
+        if self._is_peer(link):
+            self.root.peers.take_interest(link, message, now)
+
+    def _on_generation_request(self, link: Link, message: GenerationRequest, now: float) -> None:
+        if self._is_peer(link):
+            self.root.floors.answer(link, message, now)
+
+    def _on_generation_report(self, link: Link, message: GenerationReport, now: float) -> None:
+        if self._is_peer(link):
+            self.root.floors.take_answer(link, message, now)
+
+    # Messages on every link
+
+    def _on_heartbeat(self, link: Link, message: Heartbeat, now: float) -> None:
+        if not link.established:
+            return
+        if message.serial > link.heard_serial:
+            # A gap: a member message did not arrive, which is repaired by a complete view.
+            link.heard_serial = message.serial
+            self.ctx.send(link, MembersRequest(message.serial), now)
+        if link.role is Role.PARENT:
+            self.parent.hear_beat(message.beat, now)
+            self._compare_generation(link, message.generation, now)
+
+    def _compare_generation(self, link: Link, generation: int, now: float) -> None:
+        """Ask for a snapshot that the parent has and that did not arrive; not for a refused one."""
+        refusal = self._board.refusal.value
+        refused = 0 if refusal is None else refusal.generation
+        if generation > max(self.configuration.generation, refused):
+            self.ctx.send(link, SnapshotRequest(self.configuration.generation), now)
+
+    def _on_members(self, link: Link, message: Members, now: float) -> None:
+        if not link.established:
+            return
+        for member in message.members:
+            self._check_member(link, member)
+        if message.serial <= link.heard_serial:
+            # Late or repeated: the gap it left was answered with a request for a complete view.
+            return
+        if message.serial > link.heard_serial + 1 and not message.full:
+            self.ctx.send(link, MembersRequest(link.heard_serial), now)
+        link.heard_serial = message.serial
+        if message.full:
+            self.ctx.table.mark_stale(link.number, now)
+        for member in message.members:
+            self._merge(link, member, now)
+        for removal in message.removals:
+            self._remove(link, removal, now)
+
+    def _on_members_request(self, link: Link, _message: MembersRequest, now: float) -> None:
+        if link.established:
+            link.full_due = True
+            self.ctx.outbox.note(now)
+
+    def _check_member(self, link: Link, member: Member) -> None:
+        if link.role is Role.PEER:
+            if member.availability_zone != link.availability_zone:
+                raise MessageError(f"member {member.vm} is not of {link.availability_zone}")
+            return
+        workspace = self.ctx.own.workspace if link.role is Role.PARENT else link.workspace
+        if member.workspace != workspace:
+            raise MessageError(f"member {member.vm} is not of workspace {workspace}")
+
+    def _merge(self, link: Link, member: Member, now: float) -> None:
+        if member.vm == self.ctx.own.vm:
+            refuted = refute_record(self.ctx.own, member)
+            if refuted is not None:
+                self.ctx.log("warn", "record-refuted", state=member.state.name)
+                self.ctx.update_own(refuted, now)
+            return
+        closer = link.role is Role.CHILD
+        if self.ctx.table.merge(member, via=link.number, now=now, closer=closer):
+            urgent = member.state is MemberState.LEAVING
+            self.ctx.outbox.note(now, at_once=urgent)
+            self._endpoints_gate.note(now, at_once=urgent)
+
+    def _remove(self, link: Link, removal: Any, now: float) -> None:
+        if removal.vm == self.ctx.own.vm:
+            self.ctx.announce(now)
+        elif self.ctx.table.remove(removal, via=link.number, now=now):
+            self.ctx.outbox.note(now)
+            self._endpoints_gate.note(now)
+        elif link.role is Role.PARENT and self._is_below(removal.vm):
+            # The retraction is from an earlier way to a member that is now below this node.
+            self.ctx.table.repeat(removal.vm)
+            self.ctx.outbox.note(now)
+
+    def _expire_members(self, now: float) -> None:
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_INTERVAL_S
+        if self.ctx.table.expire(now, retention_s=self._settings.member_retention_s):
+            self.ctx.outbox.note(now)
+
+    # Own state
+
+    def _update_state(self, now: float) -> None:
+        """Announce a change of the backend server's health, or that this node leaves."""
+        if self._board.drain.value and not self.ctx.leaving:
+            self._begin_leave(now)
+        if self.ctx.leaving:
+            return
+        serving = self._board.phase.value is Phase.SERVING
+        ready = serving and self._board.backend.value.ready
+        state = MemberState.READY if ready else MemberState.UNREADY
+        if state is not self.ctx.own.state:
+            self.ctx.announce(now, state)
+
+    def _begin_leave(self, now: float) -> None:
+        self.ctx.leaving = True
+        self.ctx.announce(now, MemberState.LEAVING)
+        self.ctx.log("info", "leaving-announced", vm=self.ctx.own.vm)
+        self._leave_at = now + self._settings.leave_notice_s
+        self._flush(now)
+        if self.ctx.is_root:
+            targets = self.root.list_targets()
+        else:
+            links = self.ctx.list_links(Role.PARENT)
+            targets = [link.address for link in links if link.address is not None]
+        self.children.hand_over(targets, now)
+
+    def _tick_leave(self, now: float) -> None:
+        if self._leave_at is None or self._board.leave_announced.value:
+            return
+        alone = next(self.ctx.list_links(Role.PARENT, Role.CHILD, Role.PEER), None) is None
+        if now >= self._leave_at or alone:
+            self._board.leave_announced.set(True)
+            self.root.resign(now)
+
+    def _notice_lease_taken(self, now: float) -> None:
+        self.parent.stop("became a root")
+        self.ctx.spares = tuple(self.root.list_targets())
+        self._floor_at = now
+
+    def _notice_lease_lost(self, now: float) -> None:
+        """Go on without the role: hand the children over and look for a parent."""
+        self.children.hand_over(self.root.list_targets(), now)
+        self.parent.start(now)
+
+    def _notice_snapshot(self, workspace: str, now: float) -> None:
+        self.children.send_snapshots(workspace, now)
+
+    @property
+    def _floor_key(self) -> tuple[str, int]:
+        return self.ctx.own.vm, self.ctx.own.incarnation
+
+    def _tick_floor(self, now: float) -> None:
+        """Ask for the floor until it is known."""
+        if self.configuration.floor is not None or now < self._floor_at:
+            return
+        request = FloorRequest(*self._floor_key)
+        link = self.parent.link
+        if self.ctx.is_root:
+            self.root.request_floor(request, link=None)
+        elif link is not None and link.established:
+            self.ctx.send(link, request, now)
+        else:
+            return
+        self._floor_at = now + FLOOR_RETRY_S
+
+    # Links
+
+    def _is_parent(self, link: Link) -> bool:
+        return link.established and link.role is Role.PARENT
+
+    def _is_child(self, link: Link) -> bool:
+        return link.established and link.role is Role.CHILD
+
+    def _is_peer(self, link: Link) -> bool:
+        return link.established and link.role is Role.PEER
+
+    def _is_below(self, vm: str) -> bool:
+        entry = self.ctx.table.get(vm)
+        link = self.ctx.links.get(entry.via) if entry is not None else None
+        return link is not None and self._is_child(link)
+
+    def _check_links(self, now: float) -> None:
+        """Close silent links and send heartbeats."""
+        for link in list(self.ctx.links.values()):
+            if now - link.received_at > self._settings.link_timeout_s:
+                self._silent.add(link.number)
+                self.ctx.close(link, "silent")
+                # The driver reports the end of the link; until then it must not be closed again.
+                link.received_at = now
+            elif link.established:
+                self._send_heartbeat(link, now)
+
+    def _send_heartbeat(self, link: Link, now: float) -> None:
+        # Children need the beat of the root even while other messages flow.
+        last = link.beat_at if link.role is Role.CHILD else link.sent_at
+        if now - last < self._settings.heartbeat_s:
+            return
+        if self.ctx.is_root:
+            self.ctx.beat = max(self.ctx.beat + 1, int(now * 1000))
+        link.beat_at = now
+        generation = self.children.get_generation(link.workspace) if link.workspace else 0
+        self.ctx.send(link, Heartbeat(link.serial, generation, self.ctx.beat), now)
+
+    # Sending
+
+    def _settle(self, now: float) -> None:
+        """Do what follows from the event: publish endpoints and send what is due."""
+        self.children.tick(now)
+        self._relay(now)
+        if self.ctx.outbox.take(now):
+            self._flush(now)
+        self._publish_endpoints(now)
+
+    def _relay(self, now: float) -> None:
+        snapshot = self._board.snapshot.value
+        if snapshot is None or snapshot.generation == self._relayed_generation:
+            return
+        self._relayed_generation = snapshot.generation
+        self.children.send_snapshots(snapshot.workspace, now)
+        self.ctx.outbox.note(now)
+
+    def _flush(self, now: float) -> None:
+        below = {link.number for link in self.ctx.list_links(Role.CHILD)} | {SELF}
+        for link in list(self.ctx.list_links(Role.PARENT, Role.CHILD, Role.PEER)):
+            self._send_members(link, below, now)
+        self._send_report(now)
+
+    def _send_members(self, link: Link, below: set[int], now: float) -> None:
+        table = self.ctx.table
+        full = link.full_due
+        after = 0 if full else link.cursor
+        services = self._list_services(link)
+        gained = services - link.services
+        workspace = link.workspace if link.role is Role.CHILD else self.ctx.own.workspace
+
+        def is_due(entry: Any) -> bool:
+            if entry.via == link.number:
+                return False
+            member = entry.member
+            if link.role is Role.CHILD:
+                if member.workspace != workspace or member.service not in services:
+                    return member.vm == link.vm
+                return entry.version > after or member.service in gained
+            if entry.via not in below:
+                return False
+            return link.role is Role.PARENT or member.workspace in link.interests
+
+        entries = table.list_changes(0 if gained else after)
+        members = select_members(entries, is_due)
+        removals = () if full else tuple(table.list_removals(after))
+        link.cursor = table.version
+        link.services = services
+        link.full_due = False
+        if not (members or removals or full):
+            return
+        chunks = [
+            members[start : start + MAX_MEMBERS_PER_MESSAGE]
+            for start in range(0, len(members), MAX_MEMBERS_PER_MESSAGE)
+        ]
+        for position, chunk in enumerate(chunks or [()]):
+            link.serial += 1
+            first = position == 0
+            message = Members(link.serial, full and first, chunk, removals if first else ())
+            self.ctx.send(link, message, now)
+
+    def _list_services(self, link: Link) -> frozenset[str]:
+        if link.role is not Role.CHILD:
+            return frozenset()
+        history: SnapshotHistory | None = self.root.get_history(link.workspace)
+        return frozenset() if history is None else list_routed_services(history.current)
+
+    def _send_report(self, now: float) -> None:
+        link = self.parent.link
+        if link is None or not link.established:
+            return
+        report = build_report(
+            vm=self.ctx.own.vm,
+            snapshot=self._board.snapshot.value,
+            refusal=self._board.refusal.value,
+            children=[
+                (child.vm, child.report)
+                for child in self.ctx.list_links(Role.CHILD)
+                if child.report is not None
+            ],
+        )
+        if link is self._report_link and report == self._report:
+            return
+        self._report_link = link
+        self._report = report
+        self.ctx.send(link, report, now)
+
+    # Endpoints
+
+    def _publish_endpoints(self, now: float) -> None:
+        snapshot = self._board.snapshot.value
+        state = (self.ctx.table.version, 0 if snapshot is None else snapshot.generation)
+        if state == self._endpoints_of:
+            return
+        if self._endpoints_gate.due is None:
+            self._endpoints_gate.note(now)
+        if not self._endpoints_gate.take(now):
+            return
+        self._endpoints_of = state
+        services = list_routed_services(snapshot)
+        members = [entry.member for entry in self.ctx.table]
+        endpoints = build_endpoints(
+            members, workspace=self.ctx.own.workspace, services=sorted(services)
+        )
+        old = self._board.endpoints.value
+        for service, listed in endpoints.items():
+            if old.get(service) != listed:
+                ready = sum(endpoint.ready for endpoint in listed)
+                self.ctx.log("info", "endpoints-changed", service=service, ready=ready)
+        self._board.endpoints.set(endpoints)
--- /dev/null
+++ b/src/ibiswick/_internal/commands/node.py
@@ -0,0 +1,135 @@
+"""Run one node: proxy, owner of a backend server's slots, member of the control tree.
+
+Arguments are parsed with argparse, because importing cyclopts costs a node several megabytes.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+
+from ..blackboard import Blackboard
+from ..budgets import BudgetedPlatform, TokenBucket
+from ..control import ControlPlane
+from ..dataplane import DataPlane
+from ..errors import IbiswickError, Problem, SettingsError
+from ..logs import EventLog, install_handler
+from ..platform import HttpPlatform
+from ..records import Phase
+from ..settings import NodeSettings, load_settings
+
+EXIT_INVALID_SETTINGS = 2
+EXIT_FAILED = 1
+
+_log = EventLog(component="node")
+
+
+def main() -> None:
+    """Run the node; exit with 2 on invalid settings."""
+    arguments = _parse_arguments()
+    try:
+        settings = load_settings(NodeSettings, arguments.settings)
+        _check_transport(settings)
+    except IbiswickError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    if arguments.check:
+        print("settings are valid")
+        return
+    install_handler(level=settings.log_level, program="ibiswick-node")
+    try:
+        uvloop.run(run_node(settings))
+    except (OSError, IbiswickError) as error:
+        _log.error("node-failed", detail=str(error))
+        sys.exit(EXIT_FAILED)
+
+
+async def run_node(settings: NodeSettings) -> None:
+    """Run a node until it is drained."""
+    if settings.tls is None:
+        _log.warn("plaintext", detail="TLS is off, peers are not authenticated")
+    board = Blackboard()
+    data = DataPlane(settings=settings, board=board)
+    await data.start()
+    control = ControlPlane(
+        settings=settings,
+        board=board,
+        platform=_build_platform(settings, data),
+        peer_port=data.peer_port,
+    )
+    await control.start()
+    _log.info(
+        "node-started",
+        vm=settings.vm,
+        workspace=settings.workspace,
+        incarnation=control.incarnation,
+        caller_port=data.caller_port,
+        peer_port=data.peer_port,
+        control_port=control.port,
+        operations_port=data.operations_port,
+    )
+    _handle_signals(board)
+    stop_admin = asyncio.Event()
+    admin = _start_admin(settings, stop_admin)
+    # Everything loaded so far lives as long as the process; scanning it again would cost CPU.
+    gc.collect()
+    gc.freeze()
+    await _wait_stopped(board)
+    stop_admin.set()
+    if admin is not None:
+        await admin
+    await control.stop()
+    await data.stop()
+    _log.info("node-stopped", vm=settings.vm)
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="ibiswick-node", description="Run one ibiswick node.")
+    parser.add_argument("settings", type=Path, help="settings file (JSON)")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    return parser.parse_args()
+
+
+def _check_transport(settings: NodeSettings) -> None:
+    if settings.tls is None and not settings.allow_plaintext:
+        raise SettingsError(
+            [Problem("settings", "$.tls", "TLS files, or allow_plaintext set to true", "neither")]
+        )
+
+
+def _build_platform(settings: NodeSettings, data: DataPlane) -> BudgetedPlatform:
+    rate = settings.platform.calls_per_s
+    http = HttpPlatform(
+        fetch=data.fetch,
+        base_url=settings.platform.url,
+        caller=settings.vm,
+        timeout_s=settings.platform.timeout_s,
+    )
+    return BudgetedPlatform(platform=http, calls=TokenBucket(rate, rate))
+
+
+def _handle_signals(board: Blackboard) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, board.drain.set, True)
+
+
+def _start_admin(settings: NodeSettings, stop: asyncio.Event) -> asyncio.Task[None] | None:
+    if settings.admin is None:
+        return None
+    # Imports litestar, which a node without this role must not pay for.
+    from ..api import serve_admin
+
+    return asyncio.ensure_future(serve_admin(settings.admin, stop=stop))
+
+
+async def _wait_stopped(board: Blackboard) -> None:
+    phase = board.phase
+    while phase.value is not Phase.STOPPED:
+        await phase.wait_change(phase.version)
--- /dev/null
+++ b/src/ibiswick/_internal/configuration.py
@@ -0,0 +1,95 @@
+"""Decide which snapshot this node serves and sends on."""
+
+from __future__ import annotations
+
+from .context import Context
+from .errors import BaseMismatchError, SnapshotError
+from .messages import DeltaSnapshot, FullSnapshot
+from .records import Refusal, Snapshot
+from .relay import SnapshotHistory
+from .snapshots import ApplyOutcome, Delta, apply_delta, decide_apply
+
+
+class Configuration:
+    """Hold the newest valid snapshot and publish it once it is at or above the floor.
+
+    A snapshot is applied, logged and sent on to children only when it is published.
+    """
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self.history = SnapshotHistory()
+        self.held: Snapshot | None = None
+        self.floor: int | None = None
+
+    @property
+    def generation(self) -> int:
+        """Return the generation held; 0 without a snapshot."""
+        return 0 if self.held is None else self.held.generation
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the snapshot held."""
+        return "" if self.held is None else self.held.digest
+
+    def receive(self, message: FullSnapshot | DeltaSnapshot) -> bool:
+        """Take a snapshot from the parent; return whether the whole one is needed instead."""
+        if isinstance(message, FullSnapshot):
+            self.offer(Snapshot(*message))
+            return False
+        if message.generation <= self.generation:
+            return False
+        try:
+            offered = self._apply_delta(message)
+        except SnapshotError as error:
+            if not isinstance(error, BaseMismatchError):
+                self._refuse(Refusal(message.generation, error.code, error.detail))
+            return True
+        outcome = self.offer(offered)
+        self.history.note_delta(message)
+        return outcome is ApplyOutcome.REFUSED
+
+    def offer(self, snapshot: Snapshot) -> ApplyOutcome:
+        """Check a snapshot and hold it when it is valid and newer."""
+        decision = decide_apply(self.held, snapshot, floor=self.floor or 0)
+        if decision.outcome is ApplyOutcome.APPLIED:
+            self.held = snapshot
+            self._publish()
+        elif decision.refusal is not None:
+            self._refuse(decision.refusal)
+        else:
+            self._ctx.log("debug", "snapshot-ignored", generation=snapshot.generation)
+        return decision.outcome
+
+    def set_floor(self, floor: int, rule: str) -> None:
+        """Take the floor of this node; only the first one counts."""
+        if self.floor is not None:
+            return
+        self.floor = floor
+        self._ctx.log("info", "floor-confirmed", floor=floor, rule=rule)
+        self._publish()
+
+    def _apply_delta(self, message: DeltaSnapshot) -> Snapshot:
+        if self.held is None:
+            raise BaseMismatchError("this node has no snapshot")
+        return apply_delta(self.held, Delta(*message))
+
+    def _publish(self) -> None:
+        snapshot = self.held
+        if snapshot is None or self.floor is None or snapshot.generation < self.floor:
+            return
+        self.history.advance(snapshot)
+        self._ctx.board.snapshot.set(snapshot)
+        self._ctx.board.refusal.set(None)
+        self._ctx.board.floor_confirmed.set(True)
+        self._ctx.log(
+            "info",
+            "snapshot-applied",
+            workspace=snapshot.workspace,
+            generation=snapshot.generation,
+            digest=snapshot.digest,
+        )
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._ctx.board.refusal.set(refusal)
+        self._ctx.log("warn", "snapshot-refused", **refusal._asdict())
--- /dev/null
+++ b/src/ibiswick/_internal/floors.py
@@ -0,0 +1,86 @@
+"""Decide the lowest generation that a restarted node may serve."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .records import Head, Lease, Manifest
+
+RULE_HEAD = "head"
+RULE_ROOTS = "roots"
+
+
+class WorkspaceVersion(NamedTuple):
+    """Name the snapshot of a workspace in a committed head."""
+
+    generation: int
+    digest: str
+
+
+class HeadIndex:
+    """Hold the newest snapshot of every workspace as of the newest head read.
+
+    Heads are ordered by generation, so reading an older one changes nothing.
+    """
+
+    def __init__(self) -> None:
+        self.generation = 0
+        self.workspaces: dict[str, WorkspaceVersion] = {}
+
+    def needs_manifest(self, head: Head) -> bool:
+        """Tell whether `recent` does not reach back to the generation held."""
+        oldest = min((change["generation"] for change in head["recent"]), default=None)
+        if head["generation"] <= self.generation:
+            return False
+        return oldest is None or oldest > self.generation + 1
+
+    def advance(self, head: Head) -> set[str]:
+        """Take the changes in `recent`; return the workspaces that changed."""
+        if head["generation"] <= self.generation:
+            return set()
+        changed = set()
+        for change in head["recent"]:
+            if change["generation"] <= self.generation:
+                continue
+            for workspace, digest in change["snapshots"].items():
+                self.workspaces[workspace] = WorkspaceVersion(change["generation"], digest)
+                changed.add(workspace)
+        self.generation = head["generation"]
+        return changed
+
+    def replace(self, head: Head, manifest: Manifest) -> set[str]:
+        """Take a whole manifest; return the workspaces that changed."""
+        if head["generation"] <= self.generation:
+            return set()
+        old = self.workspaces
+        self.workspaces = {
+            name: WorkspaceVersion(entry["generation"], entry["snapshot"])
+            for name, entry in manifest["workspaces"].items()
+        }
+        self.generation = head["generation"]
+        return {name for name, value in self.workspaces.items() if old.get(name) != value}
+
+    def get_generation(self, workspace: str) -> int:
+        """Return the generation of a workspace's snapshot; 0 when it has none."""
+        version = self.workspaces.get(workspace)
+        return 0 if version is None else version.generation
+
+
+def confirm_by_roots(
+    directory: Mapping[int, Lease], answers: Mapping[str, int], *, own_vm: str, own: int
+) -> int | None:
+    """Return the floor from the generations that every listed root reported, or None.
+
+    The root itself must be listed. A listed root that has not answered, or that answered -1 because
+    it does not hold the role, leaves the floor open: it may have sent out a newer generation.
+    """
+    listed = {lease["vm"] for lease in directory.values()}
+    if own_vm not in listed:
+        return None
+    highest = own
+    for vm in listed - {own_vm}:
+        if answers.get(vm, -1) < 0:
+            return None
+        highest = max(highest, answers[vm])
+    return highest
