--- a/src/ibiswick/_internal/changes.py
+++ b/src/ibiswick/_internal/changes.py
@@ -356,9 +356,8 @@
         """Plan one change on a manifest, of which `added` holds what is not yet written."""
         request, added = pending.request, added or {}
         documents = await self._read_documents(list_documents(manifest), added)
-        if pending.target is None:
-            documents |= await self._read_bases(request, manifest, state.record)
-        else:
+        bases = await self._read_bases(request, manifest, state.record)
+        if pending.target is not None:
             old = await self._read_old_manifest(state.record, pending.target)
             documents |= await self._read_documents(list_documents(old), added)
             request = plan_roll_back(manifest, old, documents, request)
@@ -367,6 +366,7 @@
             documents,
             request,
             generation=state.generation + 1 if generation is None else generation,
+            bases=bases,
         )
         while True:
             try:
@@ -383,7 +383,7 @@
     async def _read_bases(
         self, request: ChangeRequest, manifest: Manifest, newest: str | None
     ) -> dict[str, Any]:
-        """Return the outdated documents that a change is based on, to tell the differences.
+        """Return the outdated documents that a change is based on, by key.
 
         Only earlier versions of the very document count, because the digest of any other blob would
         otherwise show its content to an operator who may not read it.
@@ -404,7 +404,7 @@
             then = await self._blobs.read(record["manifest"])
             for key, base in list(outdated):
                 if find_digest(then, key) == base:
-                    found[base] = await self._blobs.read(base)
+                    found[key] = await self._blobs.read(base)
                     outdated.discard((key, base))
         return found
 
--- a/src/ibiswick/_internal/plans.py
+++ b/src/ibiswick/_internal/plans.py
@@ -61,13 +61,15 @@
     request: ChangeRequest,
     *,
     generation: int,
+    bases: Mapping[str, Any] = _NOTHING,
 ) -> Plan:
     """Return the effect of a change that is accepted as `generation`.
 
-    `documents` maps digests to documents and holds all those of the manifest. Raises
+    `documents` maps digests to documents and holds all those of the manifest. `bases` holds, by the
+    keys of the request's base, outdated documents that the operator may see. Raises
     ChangeConflictError, or InvalidInputError with every fault.
     """
-    steps = plan_steps(manifest, documents, request, generation=generation)
+    steps = plan_steps(manifest, documents, request, generation=generation, bases=bases)
     while True:
         try:
             next(steps)
@@ -82,6 +84,7 @@
     request: ChangeRequest,
     *,
     generation: int,
+    bases: Mapping[str, Any] = _NOTHING,
 ) -> Generator[None, None, Plan]:
     """Do the work of `plan_change` in steps of one workspace, so that other work may go between.
 
@@ -89,7 +92,7 @@
     acceptor may run in the process of a node.
     """
     check_request(request)
-    conflicts = _find_conflicts(manifest, documents, request)
+    conflicts = _find_conflicts(manifest, documents, request, bases)
     if conflicts:
         raise ChangeConflictError(conflicts, current=generation - 1)
     before = _Inputs.load(manifest, documents)
@@ -212,16 +215,20 @@
 
 
 def _find_conflicts(
-    manifest: Manifest, documents: Mapping[str, Any], request: ChangeRequest
+    manifest: Manifest,
+    documents: Mapping[str, Any],
+    request: ChangeRequest,
+    bases: Mapping[str, Any],
 ) -> tuple[DocumentConflict, ...]:
     conflicts = []
     for key, base in sorted(request.base.items()):
         current = find_digest(manifest, key)
-        if current != base:
-            differences = compare_values(
-                key, documents.get(base or ""), documents.get(current or "")
-            )
-            conflicts.append(DocumentConflict(key, base, current, tuple(differences)))
+        if current == base:
+            continue
+        differences = []
+        if base is None or key in bases:
+            differences = compare_values(key, bases.get(key), documents.get(current or ""))
+        conflicts.append(DocumentConflict(key, base, current, tuple(differences)))
     return tuple(conflicts)
 
 
