Add tokens, the audit trail and the status of changes

Operators need rights by workspace and role, a record of every attempt and an answer to where a change is in effect. All decisions are pure functions: authorize, compute_status and resolve_entry.

Tokens: one scrypt check per token and process, with at most 16 waiting, so forged tokens cannot fill the memory of a node; a removed token is refused within 10 s. Audit: an attempt is on record before it can take effect, and the history decides attempts whose outcome was not recorded. Status: a lease that this process has seen unchanged for 15 s no longer counts as current, so that a change does not wait for an availability zone that is gone.

--- /dev/null
+++ b/src/ibiswick/_internal/access.py
@@ -0,0 +1,150 @@
+"""Check the rights of a request and record it in the audit trail."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Collection
+from typing import Any, TypeVar
+
+from .audits import AuditEntry, AuditState, AuditTrail, build_entry
+from .errors import (
+    ConflictError,
+    ForbiddenError,
+    IbiswickError,
+    InvalidInputError,
+    OutcomeUnknownError,
+)
+from .logs import EventLog
+from .tokens import Action, TokenRecord, require
+
+T = TypeVar("T")
+
+# Audit writes for refusals per second, so that a token without rights cannot use up the platform's
+# share of writes. Refusals above it are only logged.
+REFUSALS_PER_S = 5.0
+REFUSAL_BURST = 20.0
+
+
+class RefusalBudget:
+    """Limit the audit writes that refusals may cause.
+
+    >>> budget = RefusalBudget(now=0.0)
+    >>> sum(budget.take(now=0.0) for _ in range(100))
+    20
+    >>> budget.take(now=0.2)
+    True
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self._level = REFUSAL_BURST
+        self._refilled = now
+
+    def take(self, *, now: float) -> bool:
+        """Tell whether one more write fits."""
+        grown = self._level + (now - self._refilled) * REFUSALS_PER_S
+        self._level = min(REFUSAL_BURST, grown)
+        self._refilled = now
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+class AccessControl:
+    """Authorize requests; run operations between two audit writes."""
+
+    def __init__(
+        self,
+        *,
+        trail: AuditTrail,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._trail = trail
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._refusals = RefusalBudget(now=clock())
+        self._log = EventLog(component="access")
+
+    async def require(
+        self,
+        token: TokenRecord,
+        action: Action,
+        workspaces: Collection[str] | None,
+        *,
+        targets: Collection[str] = (),
+        change_id: str | None = None,
+    ) -> None:
+        """Raise ForbiddenError, after an audit entry, unless the token covers the action."""
+        try:
+            require(token, action, workspaces)
+        except ForbiddenError as error:
+            await self._audit_refusal(token, action, targets, change_id, error)
+            raise
+
+    async def run(
+        self,
+        token: TokenRecord,
+        action: str,
+        targets: Collection[str],
+        operation: Callable[[], Awaitable[T]],
+        *,
+        describe: Callable[[T], dict[str, Any]] | None = None,
+        change_id: str | None = None,
+        note: str = "",
+        base_generation: int = 0,
+    ) -> T:
+        """Run an operation between the entry of the attempt and that of its outcome.
+
+        `describe` returns what the completed entry says of the result.
+        """
+        entry = self._build_entry(token, action, targets, change_id)
+        entry = AuditEntry(**{**entry, "note": note, "base_generation": base_generation})
+        await self._trail.begin(entry)
+        try:
+            result = await operation()
+        except IbiswickError as error:
+            await self._trail.complete(entry, _classify(error), **_describe_error(error))
+            raise
+        outcome = {} if describe is None else describe(result)
+        await self._trail.complete(entry, "accepted" if describe else "done", **outcome)
+        return result
+
+    def _build_entry(
+        self, token: TokenRecord, action: str, targets: Collection[str], change_id: str | None
+    ) -> AuditEntry:
+        return build_entry(
+            now=self._wall_clock(),
+            change_id=change_id or uuid.uuid4().hex,
+            author=token.name,
+            action=action,
+            targets=sorted(targets),
+        )
+
+    async def _audit_refusal(
+        self,
+        token: TokenRecord,
+        action: Action,
+        targets: Collection[str],
+        change_id: str | None,
+        error: ForbiddenError,
+    ) -> None:
+        self._log.warn("request-refused", token=token.name, action=action, detail=error)
+        if not self._refusals.take(now=self._clock()):
+            return
+        entry = self._build_entry(token, action, targets, change_id)
+        await self._trail.complete(entry, "refused", **_describe_error(error))
+
+
+def _classify(error: IbiswickError) -> AuditState:
+    if isinstance(error, OutcomeUnknownError):
+        return "unknown"
+    return "conflict" if isinstance(error, ConflictError) else "refused"
+
+
+def _describe_error(error: IbiswickError) -> dict[str, Any]:
+    outcome: dict[str, Any] = {"code": error.code, "detail": error.detail}
+    if isinstance(error, InvalidInputError):
+        outcome["problems"] = [problem._asdict() for problem in error.problems]
+    return outcome
--- /dev/null
+++ b/src/ibiswick/_internal/audits.py
@@ -0,0 +1,155 @@
+"""Keep the audit trail of what operators attempted and what came of it."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
+
+from .errors import OutcomeUnknownError, PlatformError
+from .logs import EventLog
+from .platform import Platform
+
+AUDIT_PREFIX = "audit/"
+# Longer than any attempt lasts: the platform's time-outs end an attempt within seconds. An attempt
+# that is older and not in the history was not accepted.
+ATTEMPT_SETTLED_S = 60.0
+MAX_PAGE = 200
+# Actions that produce a generation, so that the history tells their outcome.
+HISTORY_ACTIONS = frozenset({"change", "roll-back"})
+KEY_TIME_FORMAT = "%Y%m%dT%H%M%S.%fZ"
+CURSOR_PATTERN = re.compile(r"\d{8}T\d{6}\.\d{6}Z-[A-Za-z0-9._-]{1,64}")
+
+AuditState = Literal[
+    "attempted", "accepted", "done", "refused", "conflict", "unknown", "not-accepted"
+]
+
+
+class AuditEntry(TypedDict):
+    """Content of `audit/<time>-<change id>`; `base_generation` bounds its search."""
+
+    time: str
+    change_id: str
+    author: str
+    action: str
+    targets: list[str]
+    note: str
+    state: AuditState
+    base_generation: int
+    generation: NotRequired[int]
+    code: NotRequired[str]
+    detail: NotRequired[str]
+    problems: NotRequired[list[dict[str, str]]]
+
+
+class AuditPage(NamedTuple):
+    """Hold entries from the newest to the oldest; `before` asks for the next page."""
+
+    entries: tuple[AuditEntry, ...]
+    before: str | None
+
+
+# Finds the generations of change ids in the history above a generation.
+FindGenerations = Callable[[set[str], int], Awaitable[dict[str, int]]]
+
+
+def build_entry(
+    *,
+    now: float,
+    change_id: str,
+    author: str,
+    action: str,
+    targets: list[str],
+    note: str = "",
+    base_generation: int = 0,
+) -> AuditEntry:
+    """Build the entry of an attempt at Unix time `now`."""
+    return AuditEntry(
+        time=datetime.fromtimestamp(now, UTC).strftime(KEY_TIME_FORMAT),
+        change_id=change_id,
+        author=author,
+        action=action,
+        targets=targets,
+        note=note,
+        state="attempted",
+        base_generation=base_generation,
+    )
+
+
+class AuditTrail:
+    """Write and read audit entries."""
+
+    def __init__(self, *, platform: Platform) -> None:
+        self._platform = platform
+        self._log = EventLog(component="audits")
+
+    async def begin(self, entry: AuditEntry) -> None:
+        """Write an attempt before it takes effect; without this entry nothing may happen."""
+        key = _build_key(entry)
+        try:
+            await self._platform.put(key, entry)
+        except OutcomeUnknownError:
+            # The key is unique to this attempt, so writing it twice is harmless.
+            await self._platform.put(key, entry)
+
+    async def complete(self, entry: AuditEntry, state: AuditState, **outcome: Any) -> None:
+        """Write the outcome; on failure the entry stays attempted and the reader resolves it."""
+        completed = {**entry, **outcome, "state": state}
+        try:
+            await self._platform.put(_build_key(entry), completed)
+        except PlatformError as error:
+            self._log.warn(
+                "audit-incomplete", change=entry["change_id"], state=state, code=error.code
+            )
+
+    async def read_page(
+        self, *, before: str | None, limit: int, now: float, find: FindGenerations
+    ) -> AuditPage:
+        """Return a page of entries whose outcomes are resolved as far as the history tells."""
+        after = "" if before is None else AUDIT_PREFIX + before
+        listing = await self._platform.list(AUDIT_PREFIX, after=after, limit=limit, reverse=True)
+        entries = await self._resolve([item.value for item in listing.objects], now, find)
+        full = len(listing.objects) == limit
+        cursor = listing.objects[-1].key.removeprefix(AUDIT_PREFIX) if full else None
+        return AuditPage(tuple(entries), cursor)
+
+    async def _resolve(
+        self, entries: list[AuditEntry], now: float, find: FindGenerations
+    ) -> list[AuditEntry]:
+        pending = {entry["change_id"]: entry for entry in entries if is_open(entry)}
+        if not pending:
+            return entries
+        oldest = min(entry["base_generation"] for entry in pending.values())
+        generations = await find(set(pending), oldest)
+        return [resolve_entry(entry, generations, now=now) for entry in entries]
+
+
+def is_open(entry: AuditEntry) -> bool:
+    """Tell whether an entry's outcome is still to be found in the history."""
+    return entry["action"] in HISTORY_ACTIONS and entry["state"] in ("attempted", "unknown")
+
+
+def resolve_entry(entry: AuditEntry, generations: dict[str, int], *, now: float) -> AuditEntry:
+    """Return an open entry with the outcome that the history shows."""
+    if not is_open(entry):
+        return entry
+    generation = generations.get(entry["change_id"])
+    if generation is not None:
+        return {**entry, "state": "accepted", "generation": generation}
+    if now - parse_time(entry["time"]) < ATTEMPT_SETTLED_S:
+        return entry
+    return {**entry, "state": "not-accepted"}
+
+
+def parse_time(text: str) -> float:
+    """Return the Unix time of an entry.
+
+    >>> parse_time("19700101T000001.500000Z")
+    1.5
+    """
+    return datetime.strptime(text, KEY_TIME_FORMAT).replace(tzinfo=UTC).timestamp()
+
+
+def _build_key(entry: AuditEntry) -> str:
+    return f"{AUDIT_PREFIX}{entry['time']}-{entry['change_id']}"
--- a/src/ibiswick/_internal/errors.py
+++ b/src/ibiswick/_internal/errors.py
@@ -79,6 +79,34 @@
         self.current = current
 
 
+class UnauthenticatedError(IbiswickError):
+    """Report a request without a valid bearer token."""
+
+    code = "unauthenticated"
+
+
+class ForbiddenError(IbiswickError):
+    """Report a request that the token's role or scope does not cover."""
+
+    code = "forbidden"
+
+
+class NotFoundError(IbiswickError):
+    """Report an object that the administration API does not have."""
+
+    code = "not-found"
+
+
+class OverloadedError(IbiswickError):
+    """Report a request refused because too many others are waiting."""
+
+    code = "too-many-requests"
+
+    def __init__(self, message: str, *, retry_after_s: float = 1.0) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
 class ValueTooLargeError(PlatformError):
     """Report a value that the platform does not take because of its size."""
 
--- /dev/null
+++ b/src/ibiswick/_internal/fleet.py
@@ -0,0 +1,125 @@
+"""Read from the platform what zone roots say about their nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Generic, NamedTuple, TypeVar
+
+import msgspec
+
+from .listings import read_all
+from .logs import EventLog
+from .platform import Platform, StoredObject
+from .records import Lease, Member, MemberState, RootReport
+from .status import LeaseKey, LeaseTracker
+
+T = TypeVar("T")
+
+STATUS_PREFIX = "status/"
+LEASE_PREFIX = "leases/"
+NODE_PREFIX = "nodes/"
+DRAIN_PREFIX = "live/drain/"
+# All operators who wait for a change share one read of the platform for so long.
+SHARED_READ_S = 0.25
+
+
+class Observation(NamedTuple):
+    """Hold the reports and the current leases as read together."""
+
+    reports: list[RootReport]
+    leases: dict[LeaseKey, Lease]
+
+
+class SharedRead(Generic[T]):
+    """Serve concurrent and closely following readers from one read."""
+
+    def __init__(
+        self,
+        *,
+        read: Callable[[], Awaitable[T]],
+        lifetime_s: float = SHARED_READ_S,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._read = read
+        self._lifetime_s = lifetime_s
+        self._clock = clock
+        self._task: asyncio.Future[T] | None = None
+        self._started = 0.0
+
+    async def get(self) -> T:
+        """Return a value that was read at most `lifetime_s` ago; errors are not kept."""
+        task = self._task
+        if task is None or self._is_stale(task):
+            task = self._task = asyncio.ensure_future(self._read())
+            self._started = self._clock()
+        # One reader that goes away must not cancel the read of the others.
+        return await asyncio.shield(task)
+
+    def _is_stale(self, task: asyncio.Future[T]) -> bool:
+        if not task.done():
+            return False
+        failed = task.cancelled() or task.exception() is not None
+        return failed or self._clock() - self._started >= self._lifetime_s
+
+
+class FleetReader:
+    """Read reports, leases and members."""
+
+    def __init__(self, *, platform: Platform, clock: Callable[[], float] = time.monotonic) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._tracker = LeaseTracker()
+        self._observation = SharedRead(read=self._observe, clock=clock)
+        self._log = EventLog(component="fleet")
+
+    async def read_observation(self) -> Observation:
+        """Return the reports and the leases that are current."""
+        return await self._observation.get()
+
+    async def read_members(self) -> dict[str, Member]:
+        """Return the newest record of each VM that a root has written."""
+        members: dict[str, Member] = {}
+        for item in await read_all(self._platform, NODE_PREFIX):
+            for member in self._decode_members(item):
+                known = members.get(member.vm)
+                if known is None or _rank(known) < _rank(member):
+                    members[member.vm] = member
+        return members
+
+    async def read_drains(self) -> dict[str, Any]:
+        """Return the requests to drain, by VM."""
+        objects = await read_all(self._platform, DRAIN_PREFIX)
+        return {item.key.removeprefix(DRAIN_PREFIX): item.value for item in objects}
+
+    async def _observe(self) -> Observation:
+        statuses, leases = await asyncio.gather(
+            read_all(self._platform, STATUS_PREFIX), read_all(self._platform, LEASE_PREFIX)
+        )
+        reports = [self._decode(item, RootReport) for item in statuses]
+        current = self._tracker.observe(leases, now=self._clock())
+        return Observation([report for report in reports if report is not None], current)
+
+    def _decode_members(self, item: StoredObject) -> list[Member]:
+        rows = item.value.get("members", []) if isinstance(item.value, dict) else []
+        members = [self._decode(item._replace(value=row), Member) for row in rows]
+        return [member for member in members if member is not None]
+
+    def _decode(self, item: StoredObject, kind: type[T]) -> T | None:
+        """Convert a value that a node wrote; a malformed one is logged and left out."""
+        try:
+            return msgspec.convert(item.value, kind)
+        except msgspec.ValidationError as error:
+            self._log.warn("object-ignored", key=item.key, detail=error)
+            return None
+
+
+def _rank(member: Member) -> tuple[int, bool, int, bool]:
+    """Order records of one VM as the membership does: leaving is final for an incarnation."""
+    return (
+        member.incarnation,
+        member.state is MemberState.LEAVING,
+        member.sequence,
+        member.state is MemberState.LOST,
+    )
--- /dev/null
+++ b/src/ibiswick/_internal/status.py
@@ -0,0 +1,167 @@
+"""Compute where a change is in effect, and where it is not."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+from typing import NamedTuple
+
+from .platform import StoredObject
+from .records import Head, Lease, Manifest, NodeException, RootReport
+
+# A live holder renews every 2 s and is replaced after 6 s. A lease that this process has seen
+# unchanged for longer belongs to an availability zone in which no node can reach the platform.
+LEASE_CURRENT_S = 15.0
+
+
+class WorkspaceStatus(NamedTuple):
+    """Count the nodes of one workspace; `generation` is what they need at least."""
+
+    generation: int
+    nodes: int
+    in_effect: int
+    exceptions: tuple[NodeException, ...]
+
+    @property
+    def behind(self) -> int:
+        """Return the number of nodes on which the change is not in effect."""
+        return self.nodes - self.in_effect
+
+
+class RootStatus(NamedTuple):
+    """Say which head a zone root has reported, None before its first report."""
+
+    vm: str
+    availability_zone: str
+    index: int
+    epoch: int
+    head_generation: int | None
+
+
+class ChangeStatus(NamedTuple):
+    """Say where a generation is in effect; `roots_behind` have not reported it."""
+
+    generation: int
+    head_generation: int
+    complete: bool
+    nodes: int
+    in_effect: int
+    workspaces: dict[str, WorkspaceStatus]
+    roots: int
+    roots_behind: tuple[RootStatus, ...]
+
+
+LeaseKey = tuple[str, int]
+
+
+def compute_status(
+    generation: int,
+    head: Head,
+    manifest: Manifest,
+    reports: list[RootReport],
+    leases: Mapping[LeaseKey, Lease],
+    *,
+    touched: Collection[str] | None = None,
+) -> ChangeStatus:
+    """Compute the status of a generation from the reports of the roots that hold a lease.
+
+    `leases` maps availability zone and index to the current leases. Without `touched`, the
+    workspaces are those that `head` names for the generation, or all for a generation that it no
+    longer names.
+    """
+    current = _pick_current(reports, leases)
+    names = _list_touched(generation, head, manifest) if touched is None else touched
+    workspaces = {
+        name: _compute_workspace(name, _needed_generation(generation, manifest, name), current)
+        for name in sorted(names)
+    }
+    behind = _list_roots_behind(generation, current, leases)
+    nodes = sum(status.nodes for status in workspaces.values())
+    in_effect = sum(status.in_effect for status in workspaces.values())
+    complete = generation <= head["generation"] and not behind and nodes == in_effect
+    return ChangeStatus(
+        generation=generation,
+        head_generation=head["generation"],
+        complete=complete,
+        nodes=nodes,
+        in_effect=in_effect,
+        workspaces=workspaces,
+        roots=len(leases),
+        roots_behind=behind,
+    )
+
+
+def _pick_current(
+    reports: Iterable[RootReport], leases: Mapping[LeaseKey, Lease]
+) -> dict[LeaseKey, RootReport]:
+    """Return the reports of the present lease holders; others may be from the past."""
+    current = {}
+    for report in reports:
+        key = (report["availability_zone"], report["index"])
+        lease = leases.get(key)
+        if lease and (lease["vm"], lease["epoch"]) == (report["vm"], report["epoch"]):
+            current[key] = report
+    return current
+
+
+def _list_touched(generation: int, head: Head, manifest: Manifest) -> list[str]:
+    for change in head["recent"]:
+        if change["generation"] == generation:
+            return list(change["snapshots"])
+    return list(manifest["workspaces"])
+
+
+def _needed_generation(generation: int, manifest: Manifest, name: str) -> int:
+    """Return what nodes need; 0 for a workspace that no longer exists, which needs nothing."""
+    workspace = manifest["workspaces"].get(name)
+    return 0 if workspace is None else min(generation, workspace["generation"])
+
+
+def _compute_workspace(
+    name: str, needed: int, current: Mapping[LeaseKey, RootReport]
+) -> WorkspaceStatus:
+    nodes = 0
+    in_effect = 0
+    exceptions: list[NodeException] = []
+    for report in current.values():
+        workspace = report["workspaces"].get(name)
+        if workspace is None:
+            continue
+        nodes += workspace["total"]
+        in_effect += sum(
+            count for applied, count in workspace["generations"].items() if int(applied) >= needed
+        )
+        exceptions += [item for item in workspace["exceptions"] if item["generation"] < needed]
+    exceptions.sort(key=lambda item: item["vm"])
+    return WorkspaceStatus(needed, nodes, in_effect, tuple(exceptions))
+
+
+def _list_roots_behind(
+    generation: int, current: Mapping[LeaseKey, RootReport], leases: Mapping[LeaseKey, Lease]
+) -> tuple[RootStatus, ...]:
+    behind = []
+    for key, lease in sorted(leases.items()):
+        report = current.get(key)
+        reported = None if report is None else report["head_generation"]
+        if reported is None or reported < generation:
+            behind.append(RootStatus(lease["vm"], *key, lease["epoch"], reported))
+    return tuple(behind)
+
+
+class LeaseTracker:
+    """Tell current leases from those whose holder no longer renews them."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, tuple[int, float]] = {}
+
+    def observe(self, objects: Iterable[StoredObject], *, now: float) -> dict[LeaseKey, Lease]:
+        """Return the leases whose version changed within `LEASE_CURRENT_S`, or is new here."""
+        seen: dict[str, tuple[int, float]] = {}
+        current: dict[LeaseKey, Lease] = {}
+        for item in objects:
+            version, since = self._seen.get(item.key, (0, now))
+            seen[item.key] = (item.version, since if version == item.version else now)
+            if now - seen[item.key][1] <= LEASE_CURRENT_S:
+                _, availability_zone, index = item.key.split("/")
+                current[availability_zone, int(index)] = item.value
+        self._seen = seen
+        return current
--- /dev/null
+++ b/src/ibiswick/_internal/tokens.py
@@ -0,0 +1,320 @@
+"""Create, store and check the bearer tokens of the administration API."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import re
+import secrets
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Collection
+from enum import IntEnum, StrEnum
+from typing import Any, NamedTuple
+
+from .errors import (
+    ForbiddenError,
+    InvalidInputError,
+    OutcomeUnknownError,
+    OverloadedError,
+    Problem,
+    UnauthenticatedError,
+)
+from .listings import read_all
+from .platform import MUST_NOT_EXIST, Platform
+
+TOKEN_PREFIX = "tokens/"
+ALL_WORKSPACES = "*"
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+SECRET_BYTES = 32
+SALT_BYTES = 16
+# Secrets are random and 256 bits long, so scrypt only has to make a leaked hash useless in bulk.
+# 2**14 with 8 blocks takes 16 MB, which a node that hosts the API can spare for one check.
+SCRYPT_COST = 2**14
+SCRYPT_BLOCK_SIZE = 8
+SCRYPT_PARALLELISM = 1
+SCRYPT_MEMORY_BYTES = 64 * 2**20
+MAX_TOKEN_LENGTH = 200
+# A removed token is refused at the latest this long after its removal.
+FRESH_S = 10.0
+MAX_CACHED_TOKENS = 1024
+# Requests that may wait for a scrypt check; more are refused, so that forged tokens cannot fill
+# memory or the executor's queue.
+MAX_WAITING_CHECKS = 16
+
+
+class Role(IntEnum):
+    """Rights of a token; each role includes those below it."""
+
+    READ = 1
+    PARAMETERS = 2
+    TEMPLATES = 3
+    ADMIN = 4
+
+
+class Action(StrEnum):
+    """What a request does."""
+
+    READ = "read"
+    CHANGE_PARAMETERS = "change-parameters"
+    DRAIN = "drain"
+    CHANGE_TEMPLATES = "change-templates"
+    ROLL_BACK = "roll-back"
+    READ_AUDIT = "read-audit"
+    MANAGE_TOKENS = "manage-tokens"
+
+
+LOWEST_ROLE = {
+    Action.READ: Role.READ,
+    Action.CHANGE_PARAMETERS: Role.PARAMETERS,
+    Action.DRAIN: Role.PARAMETERS,
+    Action.CHANGE_TEMPLATES: Role.TEMPLATES,
+    Action.ROLL_BACK: Role.TEMPLATES,
+    Action.READ_AUDIT: Role.ADMIN,
+    Action.MANAGE_TOKENS: Role.ADMIN,
+}
+
+
+class TokenRecord(NamedTuple):
+    """Content of `tokens/<name>`; `workspaces` is None for all, `expires` is Unix time."""
+
+    name: str
+    role: Role
+    workspaces: frozenset[str] | None
+    salt: str
+    hash: str
+    cost: int
+    created: float
+    expires: float | None
+
+
+class Decision(NamedTuple):
+    """Say whether a token covers an action, and if not, why."""
+
+    allowed: bool
+    detail: str
+
+
+def authorize(token: TokenRecord, action: Action, workspaces: Collection[str] | None) -> Decision:
+    """Decide whether a token covers an action on workspaces; None stands for the whole mesh."""
+    lowest_role = LOWEST_ROLE[action]
+    if token.role < lowest_role:
+        return Decision(False, f"needs role {format_role(lowest_role)}")
+    if token.workspaces is None:
+        return Decision(True, "")
+    if workspaces is None:
+        return Decision(False, "needs a token for all workspaces")
+    missing = sorted(set(workspaces) - token.workspaces)
+    if missing:
+        return Decision(False, f"needs a token for workspace {', '.join(missing)}")
+    return Decision(True, "")
+
+
+def require(token: TokenRecord, action: Action, workspaces: Collection[str] | None) -> None:
+    """Raise ForbiddenError unless the token covers the action."""
+    decision = authorize(token, action, workspaces)
+    if not decision.allowed:
+        raise ForbiddenError(f"token {token.name}: {decision.detail}")
+
+
+def format_role(role: Role) -> str:
+    """Return the role's name as operators write it."""
+    return role.name.lower()
+
+
+def parse_role(text: str) -> Role:
+    """Return the role of a name; raise InvalidInputError for any other text."""
+    try:
+        return Role[text.upper()]
+    except KeyError:
+        expected = "one of " + ", ".join(map(format_role, Role))
+        raise InvalidInputError([Problem("token", "$.role", expected, repr(text))]) from None
+
+
+def create_token(
+    name: str,
+    role: Role,
+    workspaces: Collection[str] | None,
+    *,
+    now: float,
+    expires: float | None = None,
+) -> tuple[TokenRecord, str]:
+    """Return a new record and the token's text, which is not kept anywhere."""
+    problems = [
+        Problem("token", path, f"a name matching {NAME_PATTERN.pattern}", repr(text))
+        for path, text in [("$.name", name), *(("$.workspaces", item) for item in workspaces or ())]
+        if not NAME_PATTERN.fullmatch(text)
+    ]
+    if problems:
+        raise InvalidInputError(problems)
+    salt = secrets.token_bytes(SALT_BYTES)
+    secret = secrets.token_urlsafe(SECRET_BYTES)
+    scope = None if workspaces is None else frozenset(workspaces)
+    digest = _hash_secret(secret, salt, SCRYPT_COST).hex()
+    record = TokenRecord(name, role, scope, salt.hex(), digest, SCRYPT_COST, now, expires)
+    return record, f"{name}.{secret}"
+
+
+def check_secret(record: TokenRecord, secret: str) -> bool:
+    """Compare a secret with a record's hash in constant time."""
+    digest = _hash_secret(secret, bytes.fromhex(record.salt), record.cost)
+    return hmac.compare_digest(digest, bytes.fromhex(record.hash))
+
+
+def split_token(text: str) -> tuple[str, str]:
+    """Split a token into its name and its secret; raise UnauthenticatedError if malformed."""
+    name, separator, secret = text.rpartition(".")
+    well_formed = separator and secret.isascii() and len(text) <= MAX_TOKEN_LENGTH
+    if not (well_formed and NAME_PATTERN.fullmatch(name)):
+        raise UnauthenticatedError("malformed bearer token")
+    return name, secret
+
+
+def encode_record(record: TokenRecord) -> dict[str, Any]:
+    """Return a record as it is kept in the platform."""
+    scope = ALL_WORKSPACES if record.workspaces is None else sorted(record.workspaces)
+    return {**record._asdict(), "role": format_role(record.role), "workspaces": scope}
+
+
+def decode_record(value: dict[str, Any]) -> TokenRecord:
+    """Return the record of a stored value."""
+    scope = value["workspaces"]
+    return TokenRecord(
+        **{
+            **value,
+            "role": parse_role(value["role"]),
+            "workspaces": None if scope == ALL_WORKSPACES else frozenset(scope),
+        }
+    )
+
+
+def _hash_secret(secret: str, salt: bytes, cost: int) -> bytes:
+    return hashlib.scrypt(
+        secret.encode(),
+        salt=salt,
+        n=cost,
+        r=SCRYPT_BLOCK_SIZE,
+        p=SCRYPT_PARALLELISM,
+        maxmem=SCRYPT_MEMORY_BYTES,
+        dklen=32,
+    )
+
+
+class TokenStore:
+    """Keep token records in the platform."""
+
+    def __init__(self, *, platform: Platform) -> None:
+        self._platform = platform
+
+    async def read(self, name: str) -> TokenRecord | None:
+        """Return one record, or None when there is none."""
+        stored = await self._platform.get(TOKEN_PREFIX + name)
+        return None if stored is None else decode_record(stored.value)
+
+    async def list(self) -> list[TokenRecord]:
+        """Return every record, ordered by name."""
+        objects = await read_all(self._platform, TOKEN_PREFIX)
+        return [decode_record(item.value) for item in objects]
+
+    async def add(self, record: TokenRecord) -> None:
+        """Write a new record; raise ConflictError when the name is taken."""
+        key = TOKEN_PREFIX + record.name
+        try:
+            await self._platform.put(key, encode_record(record), expected=MUST_NOT_EXIST)
+        except OutcomeUnknownError:
+            # The secret is known only here, so the record is of use only if it is ours.
+            if await self.read(record.name) != record:
+                raise
+
+    async def remove(self, name: str) -> None:
+        """Delete a record; a missing one is no error."""
+        await self._platform.delete(TOKEN_PREFIX + name)
+
+
+class _Verified(NamedTuple):
+    record: TokenRecord
+    fresh_until: float
+
+
+class TokenVerifier:
+    """Find the record of a bearer token without paying scrypt for every request.
+
+    The cache maps a keyed hash of the token to its record, so a memory dump shows no token. A
+    cached record is read anew after `FRESH_S`; scrypt runs again only if its hash has changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: TokenStore,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._cache_key = secrets.token_bytes(32)
+        self._verified: OrderedDict[bytes, _Verified] = OrderedDict()
+        # One check at a time bounds the memory that scrypt takes.
+        self._check_lock = asyncio.Lock()
+        self._waiting = 0
+
+    async def verify(self, text: str) -> TokenRecord:
+        """Return the token's record; raise UnauthenticatedError or OverloadedError."""
+        name, secret = split_token(text)
+        key = hashlib.blake2b(text.encode(), key=self._cache_key, digest_size=32).digest()
+        cached = self._verified.get(key)
+        if cached is None or cached.fresh_until <= self._clock():
+            record = await self._refresh(key, cached, name, secret)
+        else:
+            self._verified.move_to_end(key)
+            record = cached.record
+        if record.expires is not None and record.expires <= self._wall_clock():
+            raise UnauthenticatedError(f"token {name} has expired")
+        return record
+
+    async def _refresh(
+        self, key: bytes, cached: _Verified | None, name: str, secret: str
+    ) -> TokenRecord:
+        if cached is None:
+            record = await self._check_gated(name, secret)
+        else:
+            record = await self._store.read(name)
+            if record is None or record.hash != cached.record.hash:
+                self._verified.pop(key, None)
+                record = await self._check_gated(name, secret)
+        self._verified[key] = _Verified(record, self._clock() + FRESH_S)
+        if len(self._verified) > MAX_CACHED_TOKENS:
+            self._verified.popitem(last=False)
+        return record
+
+    async def _check_gated(self, name: str, secret: str) -> TokenRecord:
+        if self._waiting >= MAX_WAITING_CHECKS:
+            raise OverloadedError("too many unverified tokens are waiting")
+        self._waiting += 1
+        try:
+            async with self._check_lock:
+                return await self._check(name, secret)
+        finally:
+            self._waiting -= 1
+
+    async def _check(self, name: str, secret: str) -> TokenRecord:
+        record = await self._store.read(name)
+        # An unknown name costs the same scrypt, so the time taken does not tell which names exist.
+        matches = await asyncio.to_thread(check_secret, record or _UNKNOWN, secret)
+        if record is None or not matches:
+            raise UnauthenticatedError("unknown bearer token")
+        return record
+
+
+_UNKNOWN = TokenRecord(
+    name="unknown",
+    role=Role.READ,
+    workspaces=frozenset(),
+    salt="00" * SALT_BYTES,
+    hash="00" * 32,
+    cost=SCRYPT_COST,
+    created=0.0,
+    expires=None,
+)
--- /dev/null
+++ b/tests/test_tokens.py
@@ -0,0 +1,189 @@
+"""Test tokens: rights, secrets and the cache of verified tokens."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fakes import FakeClock, FakePlatform
+from ibiswick._internal import tokens
+from ibiswick._internal.errors import (
+    ConflictError,
+    InvalidInputError,
+    OverloadedError,
+    PlatformUnavailableError,
+    UnauthenticatedError,
+)
+from ibiswick._internal.tokens import Action, Role, TokenStore, TokenVerifier, authorize
+
+NAMES = st.sampled_from(["ege", "pannon", "yorgan"])
+SCOPES = st.none() | st.frozensets(NAMES)
+RECORD = tokens._UNKNOWN
+
+
+@given(st.sampled_from(Role), SCOPES, st.sampled_from(Action), SCOPES)
+def test_authorize_matches_its_definition(role, scope, action, wanted):
+    """Guards against a role or a scope that opens more than it should."""
+    needed = {
+        "read": 1,
+        "change-parameters": 2,
+        "drain": 2,
+        "change-templates": 3,
+        "roll-back": 3,
+        "read-audit": 4,
+        "manage-tokens": 4,
+    }[action]
+    covered = scope is None or (wanted is not None and wanted <= scope)
+    decision = authorize(RECORD._replace(role=role, workspaces=scope), action, wanted)
+    assert decision.allowed == (role >= needed and covered)
+    assert decision.allowed == (decision.detail == "")
+
+
+@given(st.sampled_from(Role), SCOPES, st.sampled_from(Action), SCOPES)
+def test_more_rights_never_allow_less(role, scope, action, wanted):
+    """Guards against a rule that a broader token fails and a narrower one passes."""
+    narrow = RECORD._replace(role=role, workspaces=scope)
+    if authorize(narrow, action, wanted).allowed:
+        assert authorize(narrow._replace(role=Role.ADMIN), action, wanted).allowed
+        assert authorize(narrow._replace(workspaces=None), action, wanted).allowed
+
+
+class Bench:
+    """Hold a verifier on a fake platform."""
+
+    def __init__(self) -> None:
+        self.platform = FakePlatform()
+        self.clock = FakeClock()
+        self.wall_clock = FakeClock(1000.0)
+        self.store = TokenStore(platform=self.platform)
+        self.verifier = TokenVerifier(
+            store=self.store, clock=self.clock, wall_clock=self.wall_clock
+        )
+
+    async def add(self, name="ops", expires=None) -> str:
+        record, text = tokens.create_token(name, Role.READ, None, now=0.0, expires=expires)
+        await self.store.add(record)
+        return text
+
+
+@pytest.fixture
+def hashes(monkeypatch):
+    """Count the scrypt computations and make them cheap."""
+    calls = []
+    original = tokens._hash_secret
+
+    def hash_cheaply(secret, salt, cost):
+        calls.append(secret)
+        return original(secret, salt, 2)
+
+    monkeypatch.setattr(tokens, "_hash_secret", hash_cheaply)
+    return calls
+
+
+async def test_a_verified_token_pays_scrypt_once(hashes):
+    """Guards against scrypt on every request, and against a record that is never read anew."""
+    bench = Bench()
+    text = await bench.add()
+    hashes.clear()
+    for _ in range(10):
+        assert (await bench.verifier.verify(text)).name == "ops"
+    assert (len(hashes), bench.platform.calls["get"]) == (1, 1)
+    bench.clock.advance(tokens.FRESH_S)
+    await bench.verifier.verify(text)
+    assert (len(hashes), bench.platform.calls["get"]) == (1, 2)
+
+
+async def test_a_removed_or_replaced_token_is_refused(hashes):
+    """Guards against a cache that outlives the token."""
+    bench = Bench()
+    text = await bench.add()
+    await bench.verifier.verify(text)
+    await bench.store.remove("ops")
+    bench.clock.advance(tokens.FRESH_S)
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify(text)
+    replaced = await bench.add()
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify(text)
+    assert (await bench.verifier.verify(replaced)).name == "ops"
+
+
+@pytest.mark.parametrize(
+    "forge",
+    [
+        lambda text: text[:-1] + ("A" if text[-1] != "A" else "B"),
+        lambda text: "other" + text,
+        lambda text: text.partition(".")[2],
+        lambda text: text.replace(".", "/"),
+        lambda text: text + "\u00fc",
+        lambda text: text + "A" * 300,
+        lambda text: "",
+    ],
+)
+async def test_a_forged_token_is_refused(hashes, forge):
+    """Guards against a token accepted by its name or by a part of its secret."""
+    bench = Bench()
+    text = await bench.add()
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify(forge(text))
+
+
+async def test_an_unknown_name_costs_the_same_hash(hashes):
+    """Guards against timing that tells which token names exist."""
+    bench = Bench()
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify("nobody.secret")
+    assert len(hashes) == 1
+
+
+async def test_an_expired_token_is_refused_although_cached(hashes):
+    """Guards against a cache that skips the expiry."""
+    bench = Bench()
+    text = await bench.add(expires=1001.0)
+    await bench.verifier.verify(text)
+    bench.wall_clock.advance(1.0)
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify(text)
+
+
+async def test_platform_failure_is_no_verdict_on_the_token(hashes):
+    """Guards against a valid token that is called unknown while the platform is down."""
+    bench = Bench()
+    text = await bench.add()
+    bench.platform.down = True
+    with pytest.raises(PlatformUnavailableError):
+        await bench.verifier.verify(text)
+
+
+async def test_a_flood_of_forged_tokens_is_bounded(hashes):
+    """Guards against forged tokens that queue scrypt work without limit."""
+    bench = Bench()
+    results = await asyncio.gather(
+        *(bench.verifier.verify(f"n{i}.forged") for i in range(100)), return_exceptions=True
+    )
+    kinds = [type(result) for result in results]
+    assert kinds.count(UnauthenticatedError) == tokens.MAX_WAITING_CHECKS
+    assert kinds.count(OverloadedError) == 100 - tokens.MAX_WAITING_CHECKS
+
+
+async def test_adding_survives_a_lost_answer_and_never_replaces(hashes):
+    """Guards against a token that exists but whose secret nobody was told."""
+    bench = Bench()
+    bench.platform.lose_answers = 1
+    text = await bench.add()
+    assert (await bench.verifier.verify(text)).name == "ops"
+    with pytest.raises(ConflictError):
+        await bench.add()
+
+
+def test_records_keep_no_secret_and_survive_storage(hashes):
+    """Guards against a stored secret and against a scope lost in storage."""
+    record, text = tokens.create_token("ops", Role.TEMPLATES, ["ege"], now=1.0, expires=2.0)
+    value = tokens.encode_record(record)
+    assert text.partition(".")[2] not in str(value)
+    assert tokens.decode_record(value) == record
+    with pytest.raises(InvalidInputError):
+        tokens.create_token("../ops", Role.READ, None, now=1.0)
