--- a/src/ibiswick/_internal/access.py
+++ b/src/ibiswick/_internal/access.py
@@ -8,6 +8,7 @@
 from typing import Any, TypeVar
 
 from .audits import AuditEntry, AuditState, AuditTrail, build_entry
+from .budgets import TokenBucket
 from .errors import (
     ConflictError,
     ForbiddenError,
@@ -26,31 +27,6 @@
 REFUSAL_BURST = 20.0
 
 
-class RefusalBudget:
-    """Limit the audit writes that refusals may cause.
-
-    >>> budget = RefusalBudget(now=0.0)
-    >>> sum(budget.take(now=0.0) for _ in range(100))
-    20
-    >>> budget.take(now=0.2)
-    True
-    """
-
-    def __init__(self, *, now: float) -> None:
-        self._level = REFUSAL_BURST
-        self._refilled = now
-
-    def take(self, *, now: float) -> bool:
-        """Tell whether one more write fits."""
-        grown = self._level + (now - self._refilled) * REFUSALS_PER_S
-        self._level = min(REFUSAL_BURST, grown)
-        self._refilled = now
-        if self._level < 1.0:
-            return False
-        self._level -= 1.0
-        return True
-
-
 class AccessControl:
     """Authorize requests; run operations between two audit writes."""
 
@@ -64,7 +40,7 @@
         self._trail = trail
         self._clock = clock
         self._wall_clock = wall_clock
-        self._refusals = RefusalBudget(now=clock())
+        self._refusals = TokenBucket(REFUSALS_PER_S, REFUSAL_BURST)
         self._log = EventLog(component="access")
 
     async def require(
@@ -131,7 +107,7 @@
         error: ForbiddenError,
     ) -> None:
         self._log.warn("request-refused", token=token.name, action=action, detail=error)
-        if not self._refusals.take(now=self._clock()):
+        if self._refusals.take(self._clock()) > 0:
             return
         entry = self._build_entry(token, action, targets, change_id)
         await self._trail.complete(entry, "refused", **_describe_error(error))
--- /dev/null
+++ b/src/ibiswick/_internal/api.py
@@ -0,0 +1,190 @@
+"""Assemble the administration API and serve it.
+
+A node imports this module only if its settings make it host the API, because litestar takes more
+memory than a plain node may use.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+from litestar import Litestar
+from litestar.connection import ASGIConnection
+from litestar.datastructures import State
+from litestar.middleware import (
+    AbstractAuthenticationMiddleware,
+    AuthenticationResult,
+    DefineMiddleware,
+)
+from litestar.openapi import OpenAPIConfig
+from litestar.openapi.plugins import JsonRenderPlugin
+
+from .access import AccessControl
+from .api_changes import ChangeController, ChangeService
+from .api_documents import DocumentController, DocumentService
+from .api_errors import answer_error
+from .api_fleet import FleetController, FleetService
+from .api_tokens import TokenController, TokenService
+from .audits import AuditTrail
+from .budgets import BudgetedPlatform, TokenBucket
+from .changes import Acceptor
+from .errors import Problem, SettingsError, UnauthenticatedError
+from .fleet import FleetReader
+from .logs import EventLog
+from .platform import Platform
+from .settings import AdminSettings
+from .tls import build_server_context
+from .tokens import TokenStore, TokenVerifier
+
+MAX_BODY_BYTES = 1_000_000
+# Requests in flight beyond this are refused with 503 by uvicorn, so that a burst cannot use up the
+# memory of the VM.
+MAX_CONCURRENT_REQUESTS = 256
+GRACEFUL_STOP_S = 5
+# The platform takes about four times as many reads as writes.
+CALLS_PER_WRITE = 5
+
+_log = EventLog(component="api")
+
+
+class BearerMiddleware(AbstractAuthenticationMiddleware):
+    """Set `request.user` to the record of the bearer token."""
+
+    async def authenticate_request(
+        self, connection: ASGIConnection[Any, Any, Any, Any]
+    ) -> AuthenticationResult:
+        """Check the Authorization header."""
+        scheme, _, text = connection.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not text:
+            raise UnauthenticatedError("a bearer token is required")
+        record = await connection.app.state.verifier.verify(text.strip())
+        return AuthenticationResult(user=record, auth=None)
+
+
+def create_app(*, platform: Platform, acceptor: Acceptor) -> Litestar:
+    """Build the application on a platform and an acceptor."""
+    trail = AuditTrail(platform=platform)
+    access = AccessControl(trail=trail)
+    store = TokenStore(platform=platform)
+    fleet = FleetReader(platform=platform)
+    services = {
+        "verifier": TokenVerifier(store=store),
+        "changes": ChangeService(acceptor=acceptor, access=access, trail=trail),
+        "documents": DocumentService(acceptor=acceptor, access=access),
+        "fleet": FleetService(acceptor=acceptor, platform=platform, fleet=fleet, access=access),
+        "tokens": TokenService(store=store, access=access),
+    }
+    return Litestar(
+        route_handlers=[ChangeController, DocumentController, FleetController, TokenController],
+        state=State(services, deep_copy=False),
+        middleware=[DefineMiddleware(BearerMiddleware, exclude=["^/schema"])],
+        exception_handlers={Exception: answer_error},
+        request_max_body_size=MAX_BODY_BYTES,
+        openapi_config=OpenAPIConfig(
+            title="ibiswick administration API", version="1", render_plugins=[JsonRenderPlugin()]
+        ),
+        logging_config=None,
+        pdb_on_exception=False,
+    )
+
+
+class _Server(uvicorn.Server):
+    """Leave signals to the program that hosts the API."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+async def serve_admin(settings: AdminSettings, *, stop: asyncio.Event) -> None:
+    """Serve the administration API until `stop` is set; requests in flight are finished."""
+    from .platform_httpx import connect_platform
+
+    check_transport(settings)
+    listener = open_listener(settings)
+    direct, fetch = connect_platform(settings.platform, caller="ibiswick-admin")
+    platform = build_budget(direct, writes_per_s=settings.platform.calls_per_s)
+    acceptor = Acceptor(platform=platform, gather_s=settings.gather_s)
+    app = create_app(platform=platform, acceptor=acceptor)
+    try:
+        await serve_app(app, settings, listener=listener, stop=stop)
+    finally:
+        await fetch.close()
+
+
+def build_budget(platform: Platform, *, writes_per_s: float) -> BudgetedPlatform:
+    """Limit an instance to its share of the administration's writes, and its calls with it."""
+    calls_per_s = writes_per_s * CALLS_PER_WRITE
+    return BudgetedPlatform(
+        platform=platform,
+        writes=TokenBucket(writes_per_s, writes_per_s),
+        calls=TokenBucket(calls_per_s, calls_per_s),
+    )
+
+
+async def serve_app(
+    app: Litestar, settings: AdminSettings, *, listener: socket.socket, stop: asyncio.Event
+) -> None:
+    """Serve an application on an open listener until `stop` is set."""
+    server = _Server(_build_config(app, settings))
+    _log.info("admin-listening", address=":".join(map(str, listener.getsockname()[:2])))
+    waiter = asyncio.ensure_future(_exit_on_stop(server, stop))
+    try:
+        await server.serve(sockets=[listener])
+    finally:
+        waiter.cancel()
+        listener.close()
+    _log.info("admin-stopped")
+
+
+def check_transport(settings: AdminSettings) -> None:
+    """Raise SettingsError for plaintext that the settings do not allow; warn where they do."""
+    if settings.tls is not None:
+        return
+    if not settings.allow_plaintext:
+        found = '"tls": null without "allow_plaintext": true'
+        raise SettingsError([Problem("settings", "$.tls", "a TLS identity", found)])
+    _log.warn("plaintext-allowed", listener="admin", detail="bearer tokens are sent unencrypted")
+
+
+def _build_config(app: Litestar, settings: AdminSettings) -> uvicorn.Config:
+    tls = settings.tls
+    return uvicorn.Config(
+        app,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        http="httptools",
+        ws="none",
+        server_header=False,
+        limit_concurrency=MAX_CONCURRENT_REQUESTS,
+        timeout_graceful_shutdown=GRACEFUL_STOP_S,
+        # Operators identify themselves by token, not by certificate.
+        ssl_context_factory=(
+            None if tls is None else lambda *_: build_server_context(tls, require_client=False)
+        ),
+    )
+
+
+def open_listener(settings: AdminSettings) -> socket.socket:
+    """Bind the listener; uvicorn would end the process on a failure, and with it a node."""
+    family = socket.AF_INET6 if ":" in settings.listen.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(settings.listen)
+    except OSError as error:
+        listener.close()
+        expected = "an address to listen on"
+        raise SettingsError([Problem("settings", "$.listen", expected, str(error))]) from error
+    return listener
+
+
+async def _exit_on_stop(server: uvicorn.Server, stop: asyncio.Event) -> None:
+    await stop.wait()
+    server.should_exit = True
--- /dev/null
+++ b/src/ibiswick/_internal/api_client.py
@@ -0,0 +1,152 @@
+"""Call the administration API over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import urllib.parse
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import httpx
+
+from .errors import IbiswickError, Problem
+
+TIMEOUT_S = 10.0
+# A change whose answer was lost is sent again with the same change id, after these delays.
+RETRY_DELAYS_S = (0.2, 0.5, 1.0, 2.0)
+# A longer delay that the API asks for would leave the operator without an answer.
+MAX_RETRY_AFTER_S = 5.0
+
+
+class ApiUnavailableError(IbiswickError):
+    """Report that the administration API, or the platform behind it, did not answer."""
+
+    code = "api-unavailable"
+
+    def __init__(self, message: str, *, retry_after_s: float = 0.0) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class ApiRefusedError(IbiswickError):
+    """Report a refusal by the administration API."""
+
+    code = "api-refused"
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        super().__init__(str(body.get("detail", f"status {status}")))
+        self.status = status
+        self.refusal_code = str(body.get("code", ""))
+        self.problems = tuple(Problem(**item) for item in body.get("problems", ()))
+        self.conflicts = body.get("conflicts", [])
+        self.current = body.get("current")
+
+
+class Connection(NamedTuple):
+    """Say where the API is and how to authenticate to it."""
+
+    url: str
+    token: str
+    authority: str | None = None
+
+
+class ApiClient:
+    """Send requests to the administration API; close with `async with`."""
+
+    def __init__(
+        self,
+        *,
+        connection: Connection,
+        transport: httpx.AsyncBaseTransport | None = None,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._sleep = sleep
+        self._http = httpx.AsyncClient(
+            base_url=connection.url,
+            headers={"Authorization": f"Bearer {connection.token}"},
+            timeout=TIMEOUT_S,
+            transport=transport,
+            verify=_build_verification(connection.authority),
+        )
+
+    async def __aenter__(self) -> ApiClient:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._http.aclose()
+
+    async def get(self, path: str, **query: Any) -> dict[str, Any]:
+        """Read a resource."""
+        present = {key: value for key, value in query.items() if value is not None}
+        return await self._repeat("GET", path, params=present)
+
+    async def send_change(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Post a body with a change id; the same id makes it safe to send it again."""
+        return await self._repeat("POST", path, json=body)
+
+    async def request_drain(self, vm: str, *, undo: bool) -> dict[str, Any]:
+        """Ask a VM to drain, or withdraw that; asking twice has the same effect."""
+        path = f"/v1/nodes/{quote(vm)}/drain"
+        return await self._repeat("DELETE" if undo else "POST", path)
+
+    async def read_document(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Return a template or workspace with its digest, or None."""
+        try:
+            return await self.get(f"/v1/{kind}s/{quote(name)}")
+        except ApiRefusedError as error:
+            if error.status == 404:
+                return None
+            raise
+
+    async def _repeat(self, method: str, path: str, **options: Any) -> dict[str, Any]:
+        for delay_s in RETRY_DELAYS_S:
+            try:
+                return await self._exchange(method, path, **options)
+            except ApiUnavailableError as error:
+                await self._sleep(max(delay_s, min(error.retry_after_s, MAX_RETRY_AFTER_S)))
+        return await self._exchange(method, path, **options)
+
+    async def _exchange(self, method: str, path: str, **options: Any) -> dict[str, Any]:
+        try:
+            response = await self._http.request(method, path, **options)
+        except httpx.HTTPError as error:
+            raise ApiUnavailableError(f"{type(error).__name__}: {error}") from error
+        if response.status_code == 429 or response.status_code >= 500:
+            raise ApiUnavailableError(_describe(response), retry_after_s=_read_delay(response))
+        body = _decode(response)
+        if response.status_code >= 400:
+            raise ApiRefusedError(response.status_code, body)
+        return body
+
+
+def quote(name: str) -> str:
+    """Quote a name as one segment of a path."""
+    return urllib.parse.quote(name, safe="")
+
+
+def _build_verification(authority: str | None) -> ssl.SSLContext | bool:
+    return True if authority is None else ssl.create_default_context(cafile=authority)
+
+
+def _decode(response: httpx.Response) -> dict[str, Any]:
+    try:
+        body = response.json()
+    except ValueError:
+        body = None
+    if not isinstance(body, dict):
+        raise ApiUnavailableError(f"status {response.status_code} without a JSON object")
+    return body
+
+
+def _describe(response: httpx.Response) -> str:
+    try:
+        body = _decode(response)
+    except ApiUnavailableError:
+        return f"status {response.status_code}"
+    return f"{body.get('code')}: {body.get('detail')}"
+
+
+def _read_delay(response: httpx.Response) -> float:
+    text = response.headers.get("retry-after", "")
+    return float(text) if text.isdigit() else 0.0
--- /dev/null
+++ b/src/ibiswick/_internal/api_errors.py
@@ -0,0 +1,107 @@
+"""Turn exceptions into the JSON answers of the administration API."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from litestar import MediaType, Request, Response
+from litestar.exceptions import HTTPException
+
+from .api_models import ConflictView, ErrorView
+from .errors import ChangeConflictError, IbiswickError, InvalidInputError
+from .logs import EventLog
+from .records import DocumentConflict
+
+STATUS_BY_CODE = {
+    "invalid-input": 400,
+    "unauthenticated": 401,
+    "forbidden": 403,
+    "not-found": 404,
+    "conflict": 409,
+    "change-conflict": 409,
+    "value-too-large": 413,
+    "too-many-requests": 429,
+    "platform-unavailable": 503,
+    # The change may have been accepted: the client asks again with the same change id.
+    "platform-outcome-unknown": 504,
+}
+CODE_BY_STATUS = {
+    400: "invalid-input",
+    401: "unauthenticated",
+    403: "forbidden",
+    404: "not-found",
+    405: "method-not-allowed",
+    413: "too-large",
+    429: "too-many-requests",
+}
+
+_log = EventLog(component="api")
+
+
+def answer_error(request: Request[Any, Any, Any], error: Exception) -> Response[ErrorView]:
+    """Answer a request that failed with an exception of ibiswick or of litestar."""
+    if isinstance(error, IbiswickError):
+        return _answer_known(error)
+    if isinstance(error, HTTPException):
+        return _answer_http(error)
+    _log.error(
+        "request-failed", path=request.url.path, kind=type(error).__name__, detail=str(error)
+    )
+    return _build(500, ErrorView(code="internal", detail="internal error", problems=[]))
+
+
+def _answer_known(error: IbiswickError) -> Response[ErrorView]:
+    problems = error.problems if isinstance(error, InvalidInputError) else ()
+    view = ErrorView(
+        code=error.code,
+        detail=error.detail,
+        problems=[problem._asdict() for problem in problems],  # type: ignore[misc]
+    )
+    if hasattr(error, "current"):
+        view["current"] = error.current
+    if isinstance(error, ChangeConflictError):
+        view["conflicts"] = [_view_conflict(conflict) for conflict in error.conflicts]
+    headers = {}
+    if hasattr(error, "retry_after_s"):
+        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_s)))
+    if error.code == "unauthenticated":
+        headers["WWW-Authenticate"] = "Bearer"
+    return _build(STATUS_BY_CODE.get(error.code, 500), view, headers)
+
+
+def _view_conflict(conflict: DocumentConflict) -> ConflictView:
+    return ConflictView(
+        document=conflict.document,
+        base=conflict.base,
+        current=conflict.current,
+        differences=[item._asdict() for item in conflict.differences],  # type: ignore[misc]
+    )
+
+
+def _answer_http(error: HTTPException) -> Response[ErrorView]:
+    extra = error.extra if isinstance(error.extra, list) else []
+    problems = [
+        {
+            "source": str(item.get("source", "request")),
+            "path": _format_path(str(item.get("key", ""))),
+            "expected": str(item.get("message", "")),
+            "found": "",
+        }
+        for item in extra
+        if isinstance(item, dict)
+    ]
+    code = CODE_BY_STATUS.get(error.status_code, "internal")
+    view = ErrorView(code=code, detail=error.detail, problems=problems)  # type: ignore[typeddict-item]
+    return _build(error.status_code, view, dict(error.headers or {}))
+
+
+def _format_path(key: str) -> str:
+    """Return the path of a fault; litestar calls the body as a whole "data"."""
+    return "$" if key in ("", "data") else f"$.{key}"
+
+
+def _build(
+    status: int, view: ErrorView, headers: dict[str, str] | None = None
+) -> Response[ErrorView]:
+    return Response(view, status_code=status, headers=headers, media_type=MediaType.JSON)
--- /dev/null
+++ b/src/ibiswick/_internal/api_fleet.py
@@ -0,0 +1,171 @@
+"""Show the state of nodes and of changes on them; drain VMs."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Collection
+from typing import Any
+
+from litestar import Controller, Request, delete, get, post
+from litestar.params import FromPath, FromQuery
+
+from .access import AccessControl
+from .api_models import DrainView, NodesView, NodeView, StatusView, WorkspaceStatusView
+from .changes import Acceptor
+from .errors import NotFoundError
+from .fleet import DRAIN_PREFIX, FleetReader
+from .platform import Platform
+from .records import Head, Member
+from .status import ChangeStatus, WorkspaceStatus, compute_status
+from .tokens import Action, TokenRecord
+
+EMPTY_HEAD = Head(generation=0, change="", manifest="", recent=[])
+
+
+class FleetService:
+    """Answer questions about nodes from what zone roots have written."""
+
+    def __init__(
+        self,
+        *,
+        acceptor: Acceptor,
+        platform: Platform,
+        fleet: FleetReader,
+        access: AccessControl,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._acceptor = acceptor
+        self._platform = platform
+        self._fleet = fleet
+        self._access = access
+        self._wall_clock = wall_clock
+
+    async def read_status(self, token: TokenRecord, generation: int | None) -> StatusView:
+        """Tell where a generation, by default the newest, is in effect."""
+        stored = await self._acceptor.read_head()
+        head: Head = EMPTY_HEAD if stored is None else stored.value
+        manifest = await self._acceptor.read_manifest(stored)
+        observation = await self._fleet.read_observation()
+        wanted = head["generation"] if generation is None else generation
+        touched = list(manifest["workspaces"]) if generation is None else None
+        status = compute_status(
+            wanted, head, manifest, observation.reports, observation.leases, touched=touched
+        )
+        return _view_status(status, token.workspaces)
+
+    async def list_nodes(self, token: TokenRecord, workspace: str | None) -> NodesView:
+        """List the nodes of the workspaces in the token's scope."""
+        if workspace is not None:
+            await self._access.require(token, Action.READ, [workspace])
+        members = await self._fleet.read_members()
+        drains = await self._fleet.read_drains()
+        return NodesView(
+            items=[
+                _view_node(member, drains)
+                for _, member in sorted(members.items())
+                if workspace in (None, member.workspace)
+                and (token.workspaces is None or member.workspace in token.workspaces)
+            ]
+        )
+
+    async def request_drain(self, token: TokenRecord, vm: str) -> DrainView:
+        """Ask the node of a VM to drain its present incarnation."""
+        member = await self._find_member(token, vm)
+        value = {
+            "vm": vm,
+            "incarnation": member.incarnation,
+            "author": token.name,
+            "time": self._wall_clock(),
+        }
+        await self._access.run(
+            token, "drain", [f"vm/{vm}"], lambda: self._platform.put(DRAIN_PREFIX + vm, value)
+        )
+        return DrainView(vm=vm, incarnation=member.incarnation, requested=True)
+
+    async def withdraw_drain(self, token: TokenRecord, vm: str) -> DrainView:
+        """Withdraw the request; an incarnation that has begun to leave still leaves."""
+        member = await self._find_member(token, vm)
+        await self._access.run(
+            token, "undrain", [f"vm/{vm}"], lambda: self._platform.delete(DRAIN_PREFIX + vm)
+        )
+        return DrainView(vm=vm, incarnation=member.incarnation, requested=False)
+
+    async def _find_member(self, token: TokenRecord, vm: str) -> Member:
+        """Return the member; a token without rights cannot tell which other VMs exist."""
+        member = (await self._fleet.read_members()).get(vm)
+        scope = None if member is None else [member.workspace]
+        await self._access.require(token, Action.DRAIN, scope, targets=[f"vm/{vm}"])
+        if member is None:
+            raise NotFoundError(f"no zone root lists VM {vm}")
+        return member
+
+
+def _view_status(status: ChangeStatus, scope: Collection[str] | None) -> StatusView:
+    return StatusView(
+        generation=status.generation,
+        head_generation=status.head_generation,
+        complete=status.complete,
+        nodes=status.nodes,
+        in_effect=status.in_effect,
+        roots=status.roots,
+        roots_behind=[root._asdict() for root in status.roots_behind],  # type: ignore[misc]
+        workspaces={
+            name: _view_workspace(workspace)
+            for name, workspace in status.workspaces.items()
+            if scope is None or name in scope
+        },
+    )
+
+
+def _view_workspace(status: WorkspaceStatus) -> WorkspaceStatusView:
+    return WorkspaceStatusView(
+        generation=status.generation,
+        nodes=status.nodes,
+        in_effect=status.in_effect,
+        behind=status.behind,
+        exceptions=list(status.exceptions),
+    )
+
+
+def _view_node(member: Member, drains: dict[str, Any]) -> NodeView:
+    drain = drains.get(member.vm)
+    return NodeView(
+        vm=member.vm,
+        workspace=member.workspace,
+        service=member.service,
+        availability_zone=member.availability_zone,
+        state=member.state.name.lower(),
+        incarnation=member.incarnation,
+        draining=drain is not None and drain.get("incarnation") == member.incarnation,
+    )
+
+
+class FleetController(Controller):
+    """Serve the status of changes, nodes and drains."""
+
+    path = "/v1"
+    tags = ("fleet",)
+
+    @get("/status", summary="Tell where a generation is in effect")
+    async def read_status(
+        self, request: Request[Any, Any, Any], generation: FromQuery[int | None] = None
+    ) -> StatusView:
+        """Tell where a generation is in effect."""
+        return await request.app.state.fleet.read_status(request.user, generation)
+
+    @get("/nodes", summary="List nodes")
+    async def list_nodes(
+        self, request: Request[Any, Any, Any], workspace: FromQuery[str | None] = None
+    ) -> NodesView:
+        """List nodes."""
+        return await request.app.state.fleet.list_nodes(request.user, workspace)
+
+    @post("/nodes/{vm:str}/drain", status_code=200, summary="Ask a VM to drain")
+    async def request_drain(self, request: Request[Any, Any, Any], vm: FromPath[str]) -> DrainView:
+        """Ask a VM to drain."""
+        return await request.app.state.fleet.request_drain(request.user, vm)
+
+    @delete("/nodes/{vm:str}/drain", status_code=200, summary="Withdraw a request to drain")
+    async def withdraw_drain(self, request: Request[Any, Any, Any], vm: FromPath[str]) -> DrainView:
+        """Withdraw a request to drain."""
+        return await request.app.state.fleet.withdraw_drain(request.user, vm)
--- /dev/null
+++ b/src/ibiswick/_internal/commands/admin.py
@@ -0,0 +1,142 @@
+"""Run the administration API and manage its tokens."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import cyclopts
+
+from ..errors import IbiswickError
+from ..logs import install_handler
+from ..settings import AdminSettings, load_settings
+from ..tokens import (
+    ALL_WORKSPACES,
+    TokenStore,
+    create_token,
+    encode_record,
+    format_role,
+    parse_role,
+)
+
+FAILURE = 1
+USAGE = 2
+PROGRAM = "ibiswick-admin"
+
+app = cyclopts.App(name=PROGRAM, help=__doc__, help_format="plaintext", version_flags=())
+token_app = cyclopts.App(name="token", help="Manage bearer tokens directly in the platform.")
+app.command(token_app)
+
+
+@app.command
+async def serve(*, settings: Path) -> None:
+    """Serve the administration API until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings
+        File with the settings.
+    """
+    from ..api import serve_admin
+
+    loaded = load_settings(AdminSettings, settings)
+    install_handler(level=loaded.log_level, program=PROGRAM)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await serve_admin(loaded, stop=stop)
+
+
+@token_app.command
+async def add(
+    name: str,
+    /,
+    *,
+    settings: Path,
+    role: str,
+    workspace: list[str] | None = None,
+    expires_in: float | None = None,
+) -> None:
+    """Create a token and print it; it cannot be shown again.
+
+    Parameters
+    ----------
+    name
+        Name of the token, which the history and the audit trail show.
+    settings
+        File with the settings.
+    role
+        read, parameters, templates or admin.
+    workspace
+        Workspace in the token's scope; may be repeated. Without it, all workspaces.
+    expires_in
+        Seconds until the token expires.
+    """
+    now = time.time()
+    expires = None if expires_in is None else now + expires_in
+    record, text = create_token(name, parse_role(role), workspace, now=now, expires=expires)
+    await _with_store(settings, lambda store: store.add(record))
+    print(text)
+
+
+@token_app.command(name="list")
+async def list_tokens(*, settings: Path) -> None:
+    """List tokens: name, role, workspaces, expiry as Unix time.
+
+    Parameters
+    ----------
+    settings
+        File with the settings.
+    """
+    for record in await _with_store(settings, lambda store: store.list()):
+        scope = encode_record(record)["workspaces"]
+        workspaces = scope if scope == ALL_WORKSPACES else ",".join(scope)
+        print(record.name, format_role(record.role), workspaces, record.expires or "-")
+
+
+@token_app.command
+async def remove(name: str, /, *, settings: Path) -> None:
+    """Remove a token; the API refuses it within 10 s.
+
+    Parameters
+    ----------
+    name
+        Name of the token.
+    settings
+        File with the settings.
+    """
+    await _with_store(settings, lambda store: store.remove(name))
+
+
+async def _with_store(path: Path, operation: Callable[[TokenStore], Awaitable[Any]]) -> Any:
+    from ..platform_httpx import connect_platform
+
+    settings = load_settings(AdminSettings, path)
+    platform, fetch = connect_platform(settings.platform, caller=PROGRAM)
+    try:
+        return await operation(TokenStore(platform=platform))
+    finally:
+        await fetch.close()
+
+
+async def run(arguments: list[str]) -> int:
+    """Run one command line and return its exit code."""
+    try:
+        await app.run_async(arguments, exit_on_error=False, result_action="return_value")
+    except cyclopts.CycloptsError:
+        return USAGE
+    except IbiswickError as error:
+        print(f"error: {error.code}: {error.detail}", file=sys.stderr)
+        return FAILURE
+    return 0
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(asyncio.run(run(sys.argv[1:])))
--- /dev/null
+++ b/src/ibiswick/_internal/commands/ctl_apply.py
@@ -0,0 +1,142 @@
+"""Apply a directory of templates and workspaces."""
+
+from __future__ import annotations
+
+import uuid
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+
+from ..api_client import ApiClient
+from ..documents import (
+    Difference,
+    Digests,
+    DocumentKey,
+    build_change,
+    compare_documents,
+    read_base,
+    read_documents,
+    update_base,
+    write_base,
+)
+from .ctl_support import ExitCode, Options, format_place, open_client, print_json, run_command
+from .ctl_wait import WaitResult, describe_wait, wait_in_effect
+
+DEFAULT_TIMEOUT_S = 30.0
+
+
+async def apply(
+    directory: Path,
+    /,
+    *,
+    wait: bool = True,
+    timeout: float = DEFAULT_TIMEOUT_S,
+    dry_run: Annotated[bool, Parameter(negative=())] = False,
+    prune: Annotated[bool, Parameter(negative=())] = False,
+    base: Path | None = None,
+    note: str = "",
+    options: Options,
+) -> int:
+    """Apply the documents that differ from the present ones and wait until they are in effect.
+
+    Parameters
+    ----------
+    directory
+        Directory with templates/*.json and workspaces/*.json.
+    wait
+        Wait until the change is in effect on every node that it concerns.
+    timeout
+        Seconds to wait.
+    dry_run
+        Show what the change would do; write nothing.
+    prune
+        Remove templates and workspaces that the directory does not have.
+    base
+        File with the digests that the change is based on, as `diff --base` records them. Documents
+        that somebody else has changed since are conflicts. It is updated after the change.
+    note
+        Text for the history.
+    """
+
+    async def operate() -> ExitCode:
+        documents = read_documents(directory)
+        recorded = None if base is None else read_base(base)
+        async with open_client(options) as client:
+            generation, current = await read_current(client)
+            differences = compare_documents(documents, current, base=recorded, prune=prune)
+            result = await _submit(client, differences, generation, note=note, dry_run=dry_run)
+            if base is not None and not dry_run:
+                write_base(base, update_base(recorded or current, differences))
+            waited = None
+            if wait and not dry_run:
+                waited = await wait_in_effect(
+                    client, result["generation"], timeout_s=timeout, show=not options.json
+                )
+        _report(result, differences, waited, as_json=options.json)
+        return pick_wait_code(waited)
+
+    return await run_command(operate, as_json=options.json)
+
+
+async def read_current(client: ApiClient) -> tuple[int, Digests]:
+    """Return the present generation and the digests of all documents."""
+    templates = await client.get("/v1/templates")
+    workspaces = await client.get("/v1/workspaces")
+    digests: Digests = {}
+    for item in templates["items"]:
+        digests[DocumentKey("template", item["name"])] = item["digest"]
+    for item in workspaces["items"]:
+        digests[DocumentKey("workspace", item["name"])] = item["digest"]
+    return workspaces["generation"], digests
+
+
+def pick_wait_code(waited: WaitResult | None) -> ExitCode:
+    """Return the exit code after waiting, or after not waiting."""
+    if waited is None or waited.complete:
+        return ExitCode.OK
+    return ExitCode.UNAVAILABLE if waited.status is None else ExitCode.NOT_IN_EFFECT
+
+
+def report_wait(body: dict[str, Any], waited: WaitResult | None) -> None:
+    """Add to a JSON body what waiting has shown."""
+    body["in_effect"] = None if waited is None else waited.complete
+    body["waited_s"] = None if waited is None else waited.elapsed_s
+    body["status"] = None if waited is None else waited.status
+
+
+async def _submit(
+    client: ApiClient, differences: list[Difference], generation: int, *, note: str, dry_run: bool
+) -> dict[str, Any]:
+    if not differences:
+        return {"change_id": None, "generation": generation, "state": "unchanged"}
+    body = build_change(differences, change_id=uuid.uuid4().hex, note=note, dry_run=dry_run)
+    return await client.send_change("/v1/changes", body)
+
+
+def _report(
+    result: dict[str, Any],
+    differences: list[Difference],
+    waited: WaitResult | None,
+    *,
+    as_json: bool,
+) -> None:
+    if as_json:
+        body = {**result, "changed": [str(difference.key) for difference in differences]}
+        report_wait(body, waited)
+        print_json(body)
+        return
+    for difference in differences:
+        verb = "remove" if difference.document is None else "change" if difference.base else "add"
+        print(f"{verb} {difference.key}")
+    generation = result["generation"]
+    if result["state"] == "unchanged":
+        print(f"nothing to change at generation {generation}")
+    elif result["state"] == "dry":
+        print("the change would be accepted, with these differences:")
+        for item in result["differences"]:
+            print(f"  {format_place(item)}")
+    else:
+        print(f"accepted as generation {generation} (change {result['change_id']})")
+    if waited is not None:
+        print("\n".join(describe_wait(waited, generation)))
--- /dev/null
+++ b/src/ibiswick/_internal/commands/ctl_diff.py
@@ -0,0 +1,68 @@
+"""Show how a directory differs from what is in effect."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+
+from ..api_client import ApiClient
+from ..documents import (
+    Difference,
+    compare_documents,
+    format_difference,
+    read_documents,
+    write_base,
+)
+from .ctl_apply import read_current
+from .ctl_support import ExitCode, Options, open_client, print_json, run_command
+
+
+async def diff(
+    directory: Path,
+    /,
+    *,
+    prune: Annotated[bool, Parameter(negative=())] = False,
+    base: Path | None = None,
+    options: Options,
+) -> int:
+    """Show how the documents of a directory differ from the present ones.
+
+    Parameters
+    ----------
+    directory
+        Directory with templates/*.json and workspaces/*.json.
+    prune
+        Show documents that the directory does not have as removed.
+    base
+        File in which to record the digests seen, for `apply --base`.
+    """
+
+    async def operate() -> ExitCode:
+        documents = read_documents(directory)
+        async with open_client(options) as client:
+            generation, current = await read_current(client)
+            differences = compare_documents(documents, current, prune=prune)
+            rows = [await _describe(client, difference) for difference in differences]
+        if base is not None:
+            write_base(base, current)
+        if options.json:
+            print_json({"generation": generation, "differences": rows})
+        else:
+            print("\n".join(row["diff"] for row in rows) or f"no difference from {generation}")
+        return ExitCode.OK
+
+    return await run_command(operate, as_json=options.json)
+
+
+async def _describe(client: ApiClient, difference: Difference) -> dict[str, Any]:
+    key = difference.key
+    present = await client.read_document(key.kind, key.name) if difference.base else None
+    before = None if present is None else present["document"]
+    return {
+        "kind": key.kind,
+        "name": key.name,
+        "base": difference.base,
+        "diff": format_difference(key, before, difference.document),
+    }
--- /dev/null
+++ b/src/ibiswick/_internal/commands/ctl_wait.py
@@ -0,0 +1,117 @@
+"""Wait until a generation is in effect."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from typing import Any, NamedTuple
+
+from ..api_client import ApiClient, ApiUnavailableError
+
+FIRST_POLL_S = 0.1
+LONGEST_POLL_S = 1.0
+POLL_GROWTH = 1.3
+
+
+class WaitResult(NamedTuple):
+    """Hold the last status; None if the API gave none."""
+
+    complete: bool
+    elapsed_s: float
+    status: dict[str, Any] | None
+
+
+async def wait_in_effect(
+    client: ApiClient, generation: int, *, timeout_s: float, show: bool
+) -> WaitResult:
+    """Poll the status until the generation is in effect or the time is over.
+
+    `show` prints progress on standard error if that is a terminal.
+    """
+    started = time.monotonic()
+    progress = _Progress(enabled=show and sys.stderr.isatty())
+    status: dict[str, Any] | None = None
+    delay_s = FIRST_POLL_S
+    try:
+        while True:
+            status = await _read_status(client, generation, timeout_s) or status
+            elapsed_s = time.monotonic() - started
+            complete = bool(status and status["complete"])
+            progress.show(generation, status)
+            if complete or elapsed_s >= timeout_s:
+                return WaitResult(complete, round(elapsed_s, 3), status)
+            await asyncio.sleep(min(delay_s, max(0.0, timeout_s - elapsed_s)))
+            delay_s = min(LONGEST_POLL_S, delay_s * POLL_GROWTH)
+    finally:
+        progress.end()
+
+
+async def _read_status(
+    client: ApiClient, generation: int, timeout_s: float
+) -> dict[str, Any] | None:
+    """Return the status, or None while the API or the platform does not answer."""
+    try:
+        async with asyncio.timeout(max(timeout_s, 1.0)):
+            return await client.get("/v1/status", generation=generation)
+    except (ApiUnavailableError, TimeoutError):
+        return None
+
+
+def describe_wait(result: WaitResult, generation: int) -> list[str]:
+    """Return lines that say where the generation is in effect, and where not and why."""
+    status = result.status
+    if status is None:
+        return [f"generation {generation}: no status from the API"]
+    if result.complete:
+        return [
+            f"generation {generation} is in effect on {status['in_effect']} nodes"
+            f" after {result.elapsed_s:.2f} s"
+        ]
+    lines = [
+        f"generation {generation} is not in effect everywhere after {result.elapsed_s:.1f} s:"
+        f" {status['in_effect']} of {status['nodes']} nodes"
+    ]
+    return lines + describe_gaps(status)
+
+
+def describe_gaps(status: dict[str, Any]) -> list[str]:
+    """Return one line for each root and node on which a generation is not in effect."""
+    lines = [
+        f"  zone root {root['vm']} ({root['availability_zone']}) has reported generation"
+        f" {'none' if root['head_generation'] is None else root['head_generation']}"
+        for root in status["roots_behind"]
+    ]
+    for name, workspace in sorted(status["workspaces"].items()):
+        named = workspace["exceptions"]
+        lines += [
+            f"  {name}: {item['vm']} has generation {item['generation']}:"
+            f" {item['code']} {item['detail']}".rstrip()
+            for item in named
+        ]
+        unnamed = workspace["behind"] - len(named)
+        if unnamed > 0:
+            lines.append(f"  {name}: {unnamed} more nodes")
+    return lines
+
+
+class _Progress:
+    """Rewrite one line of a terminal."""
+
+    def __init__(self, *, enabled: bool) -> None:
+        self._enabled = enabled
+
+    def show(self, generation: int, status: dict[str, Any] | None) -> None:
+        """Show how many nodes have the generation."""
+        if not self._enabled:
+            return
+        counts = "waiting for the API"
+        if status is not None:
+            counts = f"{status['in_effect']}/{status['nodes']} nodes"
+            counts += f", {status['roots'] - len(status['roots_behind'])}/{status['roots']} roots"
+        print(f"\r\x1b[Kgeneration {generation}: {counts}", end="", file=sys.stderr, flush=True)
+
+    def end(self) -> None:
+        """Clear the line."""
+        if self._enabled:
+            print("\r\x1b[K", end="", file=sys.stderr, flush=True)
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,332 @@
+"""Test the administration API in this process, on a fake platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httpx
+import pytest
+
+from builders import build_member, build_policy, build_route
+from fakes import FakePlatform
+from ibiswick._internal import tokens
+from ibiswick._internal.api import MAX_BODY_BYTES, build_budget, create_app
+from ibiswick._internal.changes import Acceptor
+from ibiswick._internal.digests import compute_digest
+from ibiswick._internal.errors import PlatformUnavailableError
+from ibiswick._internal.records import MemberState
+from ibiswick._internal.tokens import Role, TokenStore, create_token
+
+
+def build_workspace(**route):
+    """Build a workspace with one service and one route."""
+    return {"services": {"dukkan-masa": dict(build_policy())}, "routes": [build_route(**route)]}
+
+
+def build_change(change_id="c1", **workspaces):
+    """Build a change that adds workspaces."""
+    return {
+        "change_id": change_id,
+        "workspaces": workspaces,
+        "base": {f"workspace/{name}": None for name in workspaces},
+    }
+
+
+class Bench:
+    """Hold the application, its platform and clients by token."""
+
+    def __init__(self) -> None:
+        self.platform = FakePlatform()
+        self.app = self.start_instance()
+        self.texts: dict[str, str] = {}
+
+    def start_instance(self):
+        """Start the application once more on the same platform."""
+        return create_app(platform=self.platform, acceptor=Acceptor(platform=self.platform))
+
+    async def add_token(self, name, role, workspaces=None, **options):
+        """Create a token."""
+        record, self.texts[name] = create_token(name, role, workspaces, now=0.0, **options)
+        await TokenStore(platform=self.platform).add(record)
+
+    async def call(self, method, path, body=None, *, token="admin", app=None, **options):
+        """Send one request."""
+        transport = httpx.ASGITransport(app or self.app, raise_app_exceptions=False)
+        headers = {"Authorization": f"Bearer {self.texts.get(token, token)}"} if token else {}
+        if body is not None:
+            options["json"] = body
+        async with httpx.AsyncClient(transport=transport, base_url="http://admin") as client:
+            return await client.request(method, path, headers=headers, **options)
+
+    async def list_audit(self):
+        """Return (author, action, state) of the audit entries, newest first."""
+        items = (await self.call("GET", "/v1/audit")).json()["items"]
+        return [(item["author"], item["action"], item["state"]) for item in items]
+
+
+@pytest.fixture
+async def bench(monkeypatch):
+    """Provide the application with an administrator's token and cheap hashes."""
+    monkeypatch.setattr(tokens, "SCRYPT_COST", 2)
+    bench = Bench()
+    await bench.add_token("admin", Role.ADMIN)
+    return bench
+
+
+async def test_a_change_is_accepted_recorded_and_audited(bench):
+    """Guards against an accepted change that readers do not see."""
+    document = build_workspace()
+    answer = await bench.call("POST", "/v1/changes", build_change(ege=document))
+    assert (answer.status_code, answer.json()["generation"]) == (200, 1)
+    read = (await bench.call("GET", "/v1/workspaces/ege")).json()
+    assert read["document"] == document
+    assert read["digest"] == compute_digest(document)
+    assert (await bench.call("GET", "/v1/changes/c1")).json()["state"] == "accepted"
+    history = (await bench.call("GET", "/v1/history")).json()["items"]
+    assert [(item["generation"], item["author"]) for item in history] == [(1, "admin")]
+    assert await bench.list_audit() == [("admin", "change", "accepted")]
+    assert (await bench.call("GET", "/v1/status?generation=1")).json()["complete"]
+
+
+async def test_a_dry_run_writes_nothing(bench):
+    """Guards against a dry run with effects."""
+    await bench.call("GET", "/v1/templates")
+    writes = bench.platform.calls["put"]
+    body = {**build_change(ege=build_workspace()), "dry_run": True}
+    assert (await bench.call("POST", "/v1/changes", body)).json()["state"] == "dry"
+    assert bench.platform.calls["put"] == writes
+
+
+async def test_a_repeated_change_takes_effect_once(bench):
+    """Guards against a second generation when a client repeats a change after a lost answer."""
+    body = build_change(ege=build_workspace())
+    first = (await bench.call("POST", "/v1/changes", body)).json()
+    other = bench.start_instance()
+    again = [
+        (await bench.call("POST", "/v1/changes", body)).json(),
+        (await bench.call("POST", "/v1/changes", body, app=other)).json(),
+    ]
+    assert [item["generation"] for item in [first, *again]] == [1, 1, 1]
+    together = build_change("c2", bakony=build_workspace())
+    answers = await asyncio.gather(
+        *(bench.call("POST", "/v1/changes", together) for _ in range(5)),
+        *(bench.call("POST", "/v1/changes", together, app=other) for _ in range(5)),
+    )
+    assert {answer.json()["generation"] for answer in answers} == {2}
+    assert (await bench.call("GET", "/v1/status")).json()["head_generation"] == 2
+
+
+@pytest.mark.parametrize("lost", range(1, 9))
+async def test_a_lost_platform_answer_never_applies_twice(bench, lost):
+    """Guards against a wrong outcome whichever write's answer the platform loses."""
+    original, count = bench.platform.put, 0
+
+    async def lose_one(key, value, *, expected=None):
+        nonlocal count
+        count += 1
+        bench.platform.lose_answers = int(count == lost)
+        return await original(key, value, expected=expected)
+
+    bench.platform.put = lose_one
+    body = build_change(ege=build_workspace())
+    answer = await bench.call("POST", "/v1/changes", body)
+    bench.platform.put = original
+    if answer.status_code != 200:
+        assert answer.status_code in (503, 504)
+        answer = await bench.call("POST", "/v1/changes", body)
+    assert answer.json()["generation"] == 1
+    assert (await bench.list_audit())[0] == ("admin", "change", "accepted")
+
+
+async def test_of_two_racing_operators_one_gets_the_conflict(bench):
+    """Guards against an update that silently replaces another operator's."""
+    other = bench.start_instance()
+    answers = await asyncio.gather(
+        bench.call("POST", "/v1/changes", build_change("c1", ege=build_workspace())),
+        bench.call(
+            "POST", "/v1/changes", build_change("c2", ege=build_workspace(retries=1)), app=other
+        ),
+    )
+    statuses = {answer.status_code: answer.json() for answer in answers}
+    assert set(statuses) == {200, 409}
+    assert statuses[409]["code"] == "change-conflict"
+    assert statuses[409]["current"] == 1
+    assert statuses[409]["conflicts"][0]["document"] == "workspace/ege"
+    assert statuses[409]["conflicts"][0]["differences"][0]["after"] is not None
+    states = sorted(state for _, _, state in await bench.list_audit())
+    assert states == ["accepted", "conflict"]
+
+
+async def test_an_invalid_change_reports_every_problem_and_is_audited(bench):
+    """Guards against problems lost between the compiler, the answer and the audit trail."""
+    document = build_workspace(service="absent", deadline_ms="soon")
+    answer = await bench.call("POST", "/v1/changes", build_change(ege=document))
+    assert (answer.status_code, answer.json()["code"]) == (400, "invalid-input")
+    assert all(
+        set(item) == {"source", "path", "expected", "found"} for item in answer.json()["problems"]
+    )
+    assert answer.json()["problems"]
+    entry = (await bench.call("GET", "/v1/audit")).json()["items"][0]
+    assert (entry["state"], entry["problems"]) == ("refused", answer.json()["problems"])
+    assert (await bench.call("GET", "/v1/changes/c1")).json()["state"] == "refused"
+
+
+@pytest.mark.parametrize(
+    ("content", "status"),
+    [
+        (b"{", 400),
+        (b"[]", 400),
+        (b'{"change_id": "c1", "unknown": 1}', 400),
+        (b'{"change_id": "../c1"}', 400),
+        (b'{"change_id": "c1", "workspaces": {"ege": 1}}', 400),
+        (b'{"change_id": "c1", "workspaces": {"a/b": {}}}', 400),
+        (b'{"change_id": "c1", "dry_run": "yes"}', 400),
+        (b"\xff\xfe", 400),
+        (b"", 400),
+        (b" " * (MAX_BODY_BYTES + 1), 413),
+    ],
+)
+async def test_a_malformed_body_is_refused_with_its_code(bench, content, status):
+    """Guards against a failure inside the API, or an effect, of malformed input."""
+    answer = await bench.call("POST", "/v1/changes", content=content)
+    assert answer.status_code == status
+    assert answer.json()["code"] == ("too-large" if status == 413 else "invalid-input")
+    assert await bench.platform.get("live/head") is None
+
+
+@pytest.mark.parametrize("token", [None, "admin.forged", "nobody.secret", "x", "late"])
+async def test_a_request_without_a_valid_token_is_refused(bench, token):
+    """Guards against access with a missing, forged, unknown, malformed or expired token."""
+    await bench.add_token("late", Role.ADMIN, expires=1.0)
+    for method, path in [("GET", "/v1/status"), ("POST", "/v1/changes"), ("GET", "/v1/audit")]:
+        answer = await bench.call(method, path, token=token)
+        assert (answer.status_code, answer.json()["code"]) == (401, "unauthenticated")
+        assert answer.headers["www-authenticate"] == "Bearer"
+
+
+async def test_a_narrow_token_cannot_reach_beyond_its_scope(bench):
+    """Guards against access to other workspaces, and against refusals without an audit entry."""
+    await bench.call(
+        "POST", "/v1/changes", build_change(ege=build_workspace(), bakony=build_workspace())
+    )
+    await bench.add_token("narrow", Role.PARAMETERS, ["ege"])
+
+    async def call(method, path, body=None):
+        return (await bench.call(method, path, body, token="narrow")).status_code
+
+    template = {"change_id": "c2", "templates": {"web": {}}, "base": {"template/web": None}}
+    refused = [
+        ("change-parameters", "POST", "/v1/changes", build_change("c2", bakony=build_workspace())),
+        ("change-templates", "POST", "/v1/changes", template),
+        ("roll-back", "POST", "/v1/rollback", {"change_id": "c3", "generation": 1}),
+        ("read", "GET", "/v1/workspaces/bakony", None),
+        ("read", "GET", "/v1/nodes?workspace=bakony", None),
+        ("read-audit", "GET", "/v1/audit", None),
+        ("manage-tokens", "GET", "/v1/tokens", None),
+        ("manage-tokens", "POST", "/v1/tokens", {"name": "mine", "role": "admin"}),
+        ("manage-tokens", "DELETE", "/v1/tokens/admin", None),
+        ("drain", "POST", "/v1/nodes/vm-9/drain", None),
+    ]
+    for _, method, path, body in refused:
+        assert await call(method, path, body) == 403
+    audited = await bench.list_audit()
+    assert audited[: len(refused)] == [
+        ("narrow", action, "refused") for action, *_ in reversed(refused)
+    ]
+    listed = (await bench.call("GET", "/v1/workspaces", token="narrow")).json()["items"]
+    assert [item["name"] for item in listed] == ["ege"]
+    status = (await bench.call("GET", "/v1/status", token="narrow")).json()
+    assert list(status["workspaces"]) == ["ege"]
+
+
+async def test_refusals_cannot_use_up_the_platform(bench):
+    """Guards against a token without rights that writes to the platform without limit."""
+    await bench.add_token("reader", Role.READ)
+    for _ in range(60):
+        await bench.call("GET", "/v1/audit", token="reader")
+    assert len(await bench.list_audit()) < 40
+
+
+async def test_platform_down_is_said_with_a_delay(bench):
+    """Guards against a platform outage reported as a fault of the request or of the API."""
+    await bench.call("GET", "/v1/templates")
+    bench.platform.down = True
+    for method, path, body in [
+        ("POST", "/v1/changes", build_change(ege=build_workspace())),
+        ("GET", "/v1/status", None),
+        ("GET", "/v1/workspaces", None),
+    ]:
+        answer = await bench.call(method, path, body)
+        assert (answer.status_code, answer.json()["code"]) == (503, "platform-unavailable")
+        assert int(answer.headers["retry-after"]) >= 1
+
+
+async def test_a_drain_names_the_incarnation_it_is_meant_for(bench):
+    """Guards against a drain request that also drains the VM's replacement."""
+    member = build_member(vm="vm-1", incarnation=7)
+    older = member._replace(incarnation=6, state=MemberState.LEAVING)
+    await bench.platform.put("nodes/ege-bir/root-1", {"members": [list(member), list(older)]})
+    await bench.platform.put("nodes/ege-iki/root-2", {"members": [["malformed"]]})
+    answer = await bench.call("POST", "/v1/nodes/vm-1/drain")
+    assert answer.json() == {"vm": "vm-1", "incarnation": 7, "requested": True}
+    stored = await bench.platform.get("live/drain/vm-1")
+    assert (stored.value["vm"], stored.value["incarnation"]) == ("vm-1", 7)
+    nodes = (await bench.call("GET", "/v1/nodes")).json()["items"]
+    assert [(node["vm"], node["draining"]) for node in nodes] == [("vm-1", True)]
+    await bench.call("DELETE", "/v1/nodes/vm-1/drain")
+    assert await bench.platform.get("live/drain/vm-1") is None
+    assert (await bench.call("POST", "/v1/nodes/absent/drain")).status_code == 404
+
+
+async def test_rollback_is_a_new_generation(bench):
+    """Guards against a rollback that lowers the generation."""
+    first, second = build_workspace(), build_workspace(retries=1)
+    await bench.call("POST", "/v1/changes", build_change(ege=first))
+    change = build_change("c2", ege=second)
+    change["base"]["workspace/ege"] = compute_digest(first)
+    await bench.call("POST", "/v1/changes", change)
+    body = {"change_id": "c3", "generation": 1}
+    answer = await bench.call("POST", "/v1/rollback", body)
+    assert answer.json()["generation"] == 3
+    assert (await bench.call("GET", "/v1/workspaces/ege")).json()["document"] == first
+    assert (await bench.call("POST", "/v1/rollback", body)).json()["generation"] == 3
+
+
+async def test_tokens_are_managed_over_the_api(bench):
+    """Guards against a listed secret and against a name given twice."""
+    body = {"name": "ops", "role": "parameters", "workspaces": ["ege"]}
+    created = (await bench.call("POST", "/v1/tokens", body)).json()
+    bench.texts["ops"] = created["token"]
+    assert (await bench.call("GET", "/v1/status", token="ops")).status_code == 200
+    assert (await bench.call("POST", "/v1/tokens", body)).status_code == 409
+    listing = await bench.call("GET", "/v1/tokens")
+    assert [item["name"] for item in listing.json()["items"]] == ["admin", "ops"]
+    assert "hash" not in listing.text
+    assert "salt" not in listing.text
+    assert (await bench.call("DELETE", "/v1/tokens/ops")).status_code == 204
+    assert (await bench.call("DELETE", "/v1/tokens/ops")).status_code == 404
+
+
+async def test_status_shares_its_reads_of_the_platform(bench):
+    """Guards against each waiting operator polling the platform on its own."""
+    await bench.call("POST", "/v1/changes", build_change(ege=build_workspace()))
+    before = bench.platform.calls["list"]
+    await asyncio.gather(*(bench.call("GET", "/v1/status") for _ in range(20)))
+    assert bench.platform.calls["list"] - before <= 2
+
+
+async def test_an_instance_keeps_within_its_share_of_writes():
+    """Guards against one instance that takes the administration's whole share of writes."""
+    platform = FakePlatform()
+    budgeted = build_budget(platform, writes_per_s=2.0)
+    results = await asyncio.gather(
+        *(budgeted.put(f"k{number}", 1) for number in range(40)), return_exceptions=True
+    )
+    refused = [result for result in results if isinstance(result, PlatformUnavailableError)]
+    assert refused
+
+
+async def test_the_api_describes_itself(bench):
+    """Guards against a path that the OpenAPI description leaves out."""
+    answer = await bench.call("GET", "/schema/openapi.json", token=None)
+    assert len(answer.json()["paths"]) == 14
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,259 @@
+"""Test ibiswickctl and ibiswick-admin against the application in this process."""
+
+from __future__ import annotations
+
+import json
+
+import httpx
+import pytest
+
+from builders import build_policy, build_route
+from fakes import FakePlatform
+from ibiswick._internal import api_client, platform_httpx, tokens
+from ibiswick._internal.api import create_app
+from ibiswick._internal.changes import Acceptor
+from ibiswick._internal.commands import admin, ctl, ctl_support
+from ibiswick._internal.commands.ctl_support import ExitCode
+from ibiswick._internal.records import Lease, NodeException, RootReport, WorkspaceReport
+from ibiswick._internal.tokens import Role, TokenStore, create_token
+
+
+class LossyTransport(httpx.ASGITransport):
+    """Lose the answers of the next `lose` requests after the application has handled them."""
+
+    lose = 0
+
+    async def handle_async_request(self, request):
+        response = await super().handle_async_request(request)
+        if self.lose:
+            self.lose -= 1
+            raise httpx.ReadError("the answer was lost")
+        return response
+
+
+class Bench:
+    """Hold a directory, the application and the output of the commands."""
+
+    def __init__(self, directory, capsys, monkeypatch) -> None:
+        self.directory = directory
+        self.platform = FakePlatform()
+        app = create_app(platform=self.platform, acceptor=Acceptor(platform=self.platform))
+        self.transport = LossyTransport(app, raise_app_exceptions=False)
+        self._capsys = capsys
+        self._monkeypatch = monkeypatch
+        monkeypatch.setattr(ctl_support, "transport", self.transport)
+        monkeypatch.setenv("IBISWICK_URL", "http://127.0.0.1")
+
+    async def use_token(self, role, workspaces=None):
+        """Create a token and use it from now on."""
+        record, text = create_token(f"t{role}", role, workspaces, now=0.0)
+        await TokenStore(platform=self.platform).add(record)
+        self._monkeypatch.setenv("IBISWICK_TOKEN", text)
+
+    def write(self, name, document):
+        """Write a document of the directory."""
+        path = self.directory / f"{name}.json"
+        path.parent.mkdir(exist_ok=True)
+        path.write_text(document if isinstance(document, str) else json.dumps(document))
+
+    async def run(self, *arguments):
+        """Run a command; return its exit code and its output."""
+        code = await ctl.run([str(argument) for argument in arguments])
+        self.output = self._capsys.readouterr()
+        return code
+
+    async def run_json(self, *arguments):
+        """Run a command with --json; return its exit code and the object it printed."""
+        code = await self.run(*arguments, "--json")
+        return code, json.loads(self.output.out)
+
+    async def apply(self, *arguments):
+        """Apply the directory."""
+        return await self.run_json("apply", self.directory, *arguments)
+
+    async def write_root(self, generation, behind=0):
+        """Write a lease and the report of its holder with two nodes of workspace ege."""
+        lease = Lease(vm="root-1", host="127.0.0.1", control_port=1, region="ege", epoch=1)
+        exceptions = [NodeException(vm="vm-2", generation=0, code="digest-mismatch", detail="x")]
+        counts = {"0": behind, str(generation): 2 - behind}
+        report = RootReport(
+            vm="root-1",
+            availability_zone="ege-bir",
+            index=0,
+            epoch=1,
+            head_generation=generation,
+            workspaces={
+                "ege": WorkspaceReport(
+                    total=2,
+                    generations={key: count for key, count in counts.items() if count},
+                    exceptions=exceptions[:behind],
+                )
+            },
+        )
+        await self.platform.put("leases/ege-bir/0", lease)
+        await self.platform.put("status/ege-bir/root-1", report)
+
+
+@pytest.fixture
+async def bench(tmp_path, capsys, monkeypatch):
+    """Provide a directory with one valid workspace and an administrator's token."""
+    monkeypatch.setattr(tokens, "SCRYPT_COST", 2)
+    monkeypatch.setattr(api_client, "RETRY_DELAYS_S", (0.0, 0.0))
+    monkeypatch.setattr(api_client, "MAX_RETRY_AFTER_S", 0.0)
+    bench = Bench(tmp_path, capsys, monkeypatch)
+    await bench.use_token(Role.ADMIN)
+    bench.write("workspaces/ege", build_workspace())
+    return bench
+
+
+def build_workspace(**route):
+    """Build a workspace with one service and one route."""
+    return {"services": {"dukkan-masa": dict(build_policy())}, "routes": [build_route(**route)]}
+
+
+async def test_apply_is_idempotent(bench):
+    """Guards against a new generation for a directory that is already in effect."""
+    assert await bench.run("validate", bench.directory) == ExitCode.OK
+    code, first = await bench.apply()
+    assert (code, first["state"], first["generation"]) == (ExitCode.OK, "accepted", 1)
+    code, second = await bench.apply()
+    assert (code, second["state"], second["generation"]) == (ExitCode.OK, "unchanged", 1)
+
+
+async def test_apply_waits_until_the_change_is_in_effect(bench):
+    """Guards against success while a node is behind, and against a failure that names none."""
+    await bench.write_root(generation=1, behind=1)
+    code, result = await bench.apply("--timeout", 0)
+    assert (code, result["in_effect"]) == (ExitCode.NOT_IN_EFFECT, False)
+    assert await bench.run("status") == ExitCode.OK
+    assert "vm-2 has generation 0: digest-mismatch" in bench.output.out
+    await bench.write_root(generation=1)
+    code, result = await bench.apply("--timeout", 5)
+    assert (code, result["in_effect"], result["status"]["in_effect"]) == (ExitCode.OK, True, 2)
+
+
+async def test_apply_does_not_wait_on_request(bench):
+    """Guards against --no-wait that waits."""
+    await bench.write_root(generation=0)
+    code, result = await bench.apply("--no-wait")
+    assert (code, result["in_effect"]) == (ExitCode.OK, None)
+
+
+async def test_a_lost_answer_leads_to_one_generation(bench):
+    """Guards against a change applied twice, or reported as failed, after a lost answer."""
+    original = bench.transport.handle_async_request
+
+    async def lose_first_post(request):
+        bench.transport.lose = int(request.method == "POST" and not lost)
+        lost.extend([request.url.path] * bench.transport.lose)
+        return await original(request)
+
+    lost: list[str] = []
+    bench.transport.handle_async_request = lose_first_post
+    code, result = await bench.apply()
+    assert lost == ["/v1/changes"]
+    assert (code, result["generation"]) == (ExitCode.OK, 1)
+    assert (await bench.run_json("history"))[1]["items"][0]["generation"] == 1
+
+
+async def test_dry_run_and_diff_change_nothing(bench):
+    """Guards against a preview with effects."""
+    assert (await bench.apply("--dry-run"))[1]["state"] == "dry"
+    code, result = await bench.run_json("diff", bench.directory)
+    assert code == ExitCode.OK
+    assert "+" in result["differences"][0]["diff"]
+    assert (await bench.run_json("status"))[1]["head_generation"] == 0
+
+
+async def test_a_base_protects_what_another_operator_changed(bench, tmp_path_factory):
+    """Guards against an update from an old copy that silently replaces a newer one."""
+    base = tmp_path_factory.mktemp("base") / "base.json"
+    assert (await bench.apply("--base", base))[0] == ExitCode.OK
+    bench.write("workspaces/ege", build_workspace(retries=1))
+    assert (await bench.apply())[0] == ExitCode.OK
+    bench.write("workspaces/ege", build_workspace(retries=0))
+    code, result = await bench.apply("--base", base)
+    assert (code, result["code"], result["current"]) == (ExitCode.CONFLICT, "change-conflict", 2)
+    assert result["conflicts"][0]["document"] == "workspace/ege"
+    assert (await bench.run("diff", bench.directory, "--base", base)) == ExitCode.OK
+    assert (await bench.apply("--base", base))[0] == ExitCode.OK
+
+
+async def test_prune_removes_only_on_request(bench):
+    """Guards against documents removed because another directory does not have them."""
+    await bench.apply()
+    (bench.directory / "workspaces" / "ege.json").unlink()
+    bench.write("workspaces/bakony", build_workspace())
+    await bench.apply()
+    assert len((await bench.run_json("workspaces"))[1]["items"]) == 2
+    await bench.apply("--prune")
+    listed = (await bench.run_json("workspaces"))[1]["items"]
+    assert [item["name"] for item in listed] == ["bakony"]
+
+
+@pytest.mark.parametrize("document", ["{", "[]", {"unknown": 1}, build_workspace(service="absent")])
+async def test_refused_input_names_the_file(bench, document):
+    """Guards against a refusal that leaves the operator to guess the file."""
+    bench.write("workspaces/ege", document)
+    for command in ("validate", "apply"):
+        code, result = await bench.run_json(command, bench.directory)
+        assert (code, result["code"]) == (ExitCode.REFUSED, "invalid-input")
+        assert "workspaces/ege.json" in result["problems"][0]["source"]
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [["nothing"], ["apply"], ["rollback", "x"], ["status", "--url", "ftp://x"], ["nodes", "--bad"]],
+)
+async def test_usage_errors_have_their_own_code(bench, arguments):
+    """Guards against scripts that take a wrong command line for refused input."""
+    assert await bench.run(*arguments) == ExitCode.USAGE
+
+
+async def test_exit_codes_tell_rights_from_outages(bench):
+    """Guards against scripts that repeat what they have no right to, or give up on an outage."""
+    bench.platform.down = True
+    assert (await bench.run_json("history"))[1]["code"] == "api-unavailable"
+    assert await bench.run("history") == ExitCode.UNAVAILABLE
+    assert await bench.run("rollback", 1) == ExitCode.UNAVAILABLE
+    bench.platform.down = False
+    await bench.use_token(Role.READ)
+    assert (await bench.apply())[0] == ExitCode.NOT_AUTHORIZED
+    assert await bench.run("rollback", 1) == ExitCode.NOT_AUTHORIZED
+
+
+async def test_every_listing_prints(bench):
+    """Guards against a listing that fails on real answers."""
+    await bench.apply()
+    for command in ("status", "history", "audit", "workspaces", "nodes"):
+        assert await bench.run(command) == ExitCode.OK
+        assert bench.output.out
+    assert await bench.run("workspaces", "ege") == ExitCode.OK
+    assert await bench.run("drain", "absent", "--undo") == ExitCode.REFUSED
+    code, result = await bench.run_json("rollback", 1)
+    assert (code, result["generation"]) == (ExitCode.OK, 2)
+
+
+async def test_the_first_token_is_written_straight_to_the_platform(bench, monkeypatch):
+    """Guards against a first token that needs an API that nobody may use yet."""
+
+    class Transport:
+        async def close(self):
+            pass
+
+    monkeypatch.setattr(
+        platform_httpx, "connect_platform", lambda *_, **__: (bench.platform, Transport())
+    )
+    settings = bench.directory / "settings.json"
+    address = {"host": "127.0.0.1", "port": 1}
+    settings.write_text(json.dumps({"listen": address, "platform": {"url": "http://127.0.0.1"}}))
+    options = ["--settings", str(settings)]
+    assert await admin.run(["token", "add", *options, "first", "--role", "admin"]) == 0
+    monkeypatch.setenv("IBISWICK_TOKEN", bench._capsys.readouterr().out.strip())
+    assert await bench.run("audit") == ExitCode.OK
+    assert await admin.run(["token", "list", *options]) == 0
+    assert "first admin *" in bench._capsys.readouterr().out
+    assert await admin.run(["token", "add", *options, "first", "--role", "admin"]) == 1
+    assert await admin.run(["token", "remove", *options, "first"]) == 0
+    assert await admin.run(["token", "add", *options, "second", "--role", "king"]) == 1
+    assert await admin.run(["token", "add", "third"]) == 2
--- /dev/null
+++ b/tests/test_serve.py
@@ -0,0 +1,73 @@
+"""Test how the administration API is served."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httpx
+import pytest
+
+from fakes import FakePlatform
+from ibiswick._internal import tokens
+from ibiswick._internal.api import create_app, open_listener, serve_admin, serve_app
+from ibiswick._internal.changes import Acceptor
+from ibiswick._internal.errors import SettingsError
+from ibiswick._internal.settings import Address, AdminSettings, PlatformSettings
+
+SETTINGS = AdminSettings(
+    listen=Address("127.0.0.1", 0),
+    platform=PlatformSettings("http://127.0.0.1:1"),
+    allow_plaintext=True,
+)
+
+
+class SlowPlatform(FakePlatform):
+    """Tell when a read has begun, and take longer for it than the server takes to stop."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entered = asyncio.Event()
+
+    async def get(self, key):
+        self.entered.set()
+        await asyncio.sleep(0.3)
+        return await super().get(key)
+
+
+async def test_plaintext_must_be_allowed():
+    """Guards against bearer tokens sent in the clear by an oversight in the settings."""
+    settings = SETTINGS._replace(allow_plaintext=False)
+    with pytest.raises(SettingsError):
+        await serve_admin(settings, stop=asyncio.Event())
+
+
+async def test_a_taken_port_does_not_end_the_hosting_process():
+    """Guards against uvicorn's SystemExit, which would end a node with its calls."""
+    listener = open_listener(SETTINGS)
+    listener.listen()
+    taken = SETTINGS._replace(listen=Address(*listener.getsockname()))
+    with pytest.raises(SettingsError):
+        await serve_admin(taken, stop=asyncio.Event())
+    listener.close()
+
+
+async def test_a_stop_finishes_requests_in_flight(monkeypatch):
+    """Guards against a change cut off, and its operator left without answer, by a planned stop."""
+    monkeypatch.setattr(tokens, "SCRYPT_COST", 2)
+    platform = SlowPlatform()
+    store = tokens.TokenStore(platform=platform)
+    record, text = tokens.create_token("ops", tokens.Role.READ, None, now=0.0)
+    await store.add(record)
+    listener = open_listener(SETTINGS)
+    listener.listen()
+    app = create_app(platform=platform, acceptor=Acceptor(platform=platform))
+    stop = asyncio.Event()
+    serving = asyncio.create_task(serve_app(app, SETTINGS, listener=listener, stop=stop))
+    host, port = listener.getsockname()
+    async with httpx.AsyncClient(base_url=f"http://{host}:{port}", trust_env=False) as client:
+        headers = {"Authorization": f"Bearer {text}"}
+        request = asyncio.create_task(client.get("/v1/status", headers=headers))
+        await platform.entered.wait()
+        stop.set()
+        assert (await request).status_code == 200
+    await serving
