Show a narrow token its own workspaces only, and remove old drain requests

The history and the status of a token for some workspaces named the others. A drain request stayed in the platform, and in every root's watch, for good; a new request now removes those older than an hour. Requests without a valid token are logged, since they are not audited.

--- a/src/ibiswick/_internal/api.py
+++ b/src/ibiswick/_internal/api.py
@@ -62,7 +62,12 @@
         scheme, _, text = connection.headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not text:
             raise UnauthenticatedError("a bearer token is required")
-        record = await connection.app.state.verifier.verify(text.strip())
+        try:
+            record = await connection.app.state.verifier.verify(text.strip())
+        except UnauthenticatedError as error:
+            # Not audited: anybody could fill the platform with entries.
+            _log.warn("authentication-failed", path=connection.url.path, detail=error)
+            raise
         return AuthenticationResult(user=record, auth=None)
 
 
--- a/src/ibiswick/_internal/api_changes.py
+++ b/src/ibiswick/_internal/api_changes.py
@@ -16,7 +16,8 @@
 from .changes import Acceptor, ChangeRequest, ChangeResult
 from .errors import InvalidInputError, NotFoundError, Problem
 from .plans import list_touched
-from .tokens import Action, TokenRecord, authorize
+from .records import ChangeRecord
+from .tokens import Action, TokenRecord, authorize, can_see
 
 # Accepted changes are looked up by id for retries and audit entries, which are recent. At the
 # design rate of 50,000 changes a day this covers the last seven minutes.
@@ -87,8 +88,8 @@
         """Return accepted changes, newest first, that touch what the token may see."""
         records = await self._acceptor.read_history(before, limit)
         following = str(records[-1]["generation"]) if len(records) == limit else None
-        items = [dict(record) for record in records if _may_see(token, record["touched"])]
-        return PageView(items=items, next=following)
+        views = [_view_record(token, record) for record in records]
+        return PageView(items=[view for view in views if view is not None], next=following)
 
     async def read_audit(self, token: TokenRecord, before: str | None, limit: int) -> PageView:
         """Return audit entries, newest first."""
@@ -207,15 +208,28 @@
     return view
 
 
-def _may_see(token: TokenRecord, targets: list[str]) -> bool:
-    """Tell whether one of the targets is a template or a workspace in the token's scope."""
-    if token.workspaces is None:
-        return True
-    for target in targets:
-        kind, _, name = target.partition("/")
-        if kind == "template" or (kind == "workspace" and name in token.workspaces):
-            return True
-    return False
+def _view_record(token: TokenRecord, record: ChangeRecord) -> dict[str, Any] | None:
+    """Return what a token may see of a change, or None for nothing."""
+    touched = [target for target in record["touched"] if _may_see_target(token, target)]
+    if not touched:
+        return None
+    snapshots = {
+        name: digest for name, digest in record["snapshots"].items() if can_see(token, name)
+    }
+    return {
+        "generation": record["generation"],
+        "change_id": record["change_id"],
+        "author": record["author"],
+        "time": record["time"],
+        "note": record["note"],
+        "touched": touched,
+        "snapshots": snapshots,
+    }
+
+
+def _may_see_target(token: TokenRecord, target: str) -> bool:
+    kind, _, name = target.partition("/")
+    return kind == "template" or can_see(token, name)
 
 
 def _may_see_entry(token: TokenRecord, entry: AuditEntry) -> bool:
--- a/src/ibiswick/_internal/api_documents.py
+++ b/src/ibiswick/_internal/api_documents.py
@@ -12,7 +12,7 @@
 from .changes import Acceptor
 from .errors import NotFoundError
 from .records import Manifest
-from .tokens import Action, TokenRecord
+from .tokens import Action, TokenRecord, can_see
 
 
 class DocumentService:
@@ -42,7 +42,7 @@
                 "generation": workspace["generation"],
             }
             for name, workspace in sorted(manifest["workspaces"].items())
-            if token.workspaces is None or name in token.workspaces
+            if can_see(token, name)
         ]
         return ItemsView(generation=generation, items=items)
 
--- a/src/ibiswick/_internal/api_fleet.py
+++ b/src/ibiswick/_internal/api_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import Any
 
 from litestar import Controller, Request, delete, get, post
@@ -13,14 +13,17 @@
 from .api_models import DrainView, NodesView, NodeView, StatusView, WorkspaceStatusView
 from .changes import Acceptor
 from .errors import NotFoundError
-from .fleet import DRAIN_PREFIX, FleetReader
+from .fleet import DRAIN_PREFIX, DrainRequest, FleetReader
 from .platform import Platform
 from .records import Head, Member
-from .status import ChangeStatus, WorkspaceStatus, compute_status
-from .tokens import Action, TokenRecord
+from .status import ChangeStatus, WorkspaceStatus, compute_status, list_changed_workspaces
+from .tokens import Action, TokenRecord, can_see
 
 EMPTY_HEAD = Head(generation=0, change="", manifest="", recent=[])
 
+# A request takes effect within seconds; a VM that could not be reached for so long is replaced.
+DRAIN_RETENTION_S = 3600.0
+
 
 class FleetService:
     """Answer questions about nodes from what zone roots have written."""
@@ -47,11 +50,16 @@
         manifest = await self._acceptor.read_manifest(stored)
         observation = await self._fleet.read_observation()
         wanted = head["generation"] if generation is None else generation
-        touched = list(manifest["workspaces"]) if generation is None else None
-        status = compute_status(
-            wanted, head, manifest, observation.reports, observation.leases, touched=touched
+        touched = list(manifest["workspaces"])
+        if generation is not None:
+            touched = list_changed_workspaces(generation, head, manifest)
+        # A token for some workspaces sees, and waits for, the nodes of these only.
+        visible = [name for name in touched if can_see(token, name)]
+        return _view_status(
+            compute_status(
+                wanted, head, manifest, observation.reports, observation.leases, touched=visible
+            )
         )
-        return _view_status(status, token.workspaces)
 
     async def list_nodes(self, token: TokenRecord, workspace: str | None) -> NodesView:
         """List the nodes of the workspaces in the token's scope."""
@@ -63,20 +71,17 @@
             items=[
                 _view_node(member, drains)
                 for _, member in sorted(members.items())
-                if workspace in (None, member.workspace)
-                and (token.workspaces is None or member.workspace in token.workspaces)
+                if workspace in (None, member.workspace) and can_see(token, member.workspace)
             ]
         )
 
     async def request_drain(self, token: TokenRecord, vm: str) -> DrainView:
         """Ask the node of a VM to drain its present incarnation."""
         member = await self._find_member(token, vm)
-        value = {
-            "vm": vm,
-            "incarnation": member.incarnation,
-            "author": token.name,
-            "time": self._wall_clock(),
-        }
+        await self._remove_old_drains()
+        value = DrainRequest(
+            vm=vm, incarnation=member.incarnation, author=token.name, time=self._wall_clock()
+        )
         await self._access.run(
             token, "drain", [f"vm/{vm}"], lambda: self._platform.put(DRAIN_PREFIX + vm, value)
         )
@@ -90,6 +95,13 @@
         )
         return DrainView(vm=vm, incarnation=member.incarnation, requested=False)
 
+    async def _remove_old_drains(self) -> None:
+        """Remove requests that have long taken effect; every root watches all that remain."""
+        oldest = self._wall_clock() - DRAIN_RETENTION_S
+        for vm, value in (await self._fleet.read_drains()).items():
+            if value["time"] < oldest:
+                await self._platform.delete(DRAIN_PREFIX + vm)
+
     async def _find_member(self, token: TokenRecord, vm: str) -> Member:
         """Return the member; a token without rights cannot tell which other VMs exist."""
         member = (await self._fleet.read_members()).get(vm)
@@ -100,7 +112,7 @@
         return member
 
 
-def _view_status(status: ChangeStatus, scope: Collection[str] | None) -> StatusView:
+def _view_status(status: ChangeStatus) -> StatusView:
     return StatusView(
         generation=status.generation,
         head_generation=status.head_generation,
@@ -110,9 +122,7 @@
         roots=status.roots,
         roots_behind=[root._asdict() for root in status.roots_behind],  # type: ignore[misc]
         workspaces={
-            name: _view_workspace(workspace)
-            for name, workspace in status.workspaces.items()
-            if scope is None or name in scope
+            name: _view_workspace(workspace) for name, workspace in status.workspaces.items()
         },
     )
 
@@ -127,7 +137,7 @@
     )
 
 
-def _view_node(member: Member, drains: dict[str, Any]) -> NodeView:
+def _view_node(member: Member, drains: dict[str, DrainRequest]) -> NodeView:
     drain = drains.get(member.vm)
     return NodeView(
         vm=member.vm,
@@ -136,7 +146,7 @@
         availability_zone=member.availability_zone,
         state=member.state.name.lower(),
         incarnation=member.incarnation,
-        draining=drain is not None and drain.get("incarnation") == member.incarnation,
+        draining=drain is not None and drain["incarnation"] == member.incarnation,
     )
 
 
--- a/src/ibiswick/_internal/audits.py
+++ b/src/ibiswick/_internal/audits.py
@@ -16,6 +16,7 @@
 # that is older and not in the history was not accepted.
 ATTEMPT_SETTLED_S = 60.0
 MAX_PAGE = 200
+COMPLETION_ATTEMPTS = 2
 # Actions that produce a generation, so that the history tells their outcome.
 HISTORY_ACTIONS = frozenset({"change", "roll-back"})
 KEY_TIME_FORMAT = "%Y%m%dT%H%M%S.%fZ"
@@ -96,12 +97,17 @@
     async def complete(self, entry: AuditEntry, state: AuditState, **outcome: Any) -> None:
         """Write the outcome; on failure the entry stays attempted and the reader resolves it."""
         completed = {**entry, **outcome, "state": state}
-        try:
-            await self._platform.put(_build_key(entry), completed)
-        except PlatformError as error:
-            self._log.warn(
-                "audit-incomplete", change=entry["change_id"], state=state, code=error.code
-            )
+        for attempt in range(COMPLETION_ATTEMPTS):
+            try:
+                await self._platform.put(_build_key(entry), completed)
+            except PlatformError as error:
+                if attempt == COMPLETION_ATTEMPTS - 1:
+                    change_id = entry["change_id"]
+                    self._log.warn(
+                        "audit-incomplete", change_id=change_id, state=state, code=error.code
+                    )
+            else:
+                return
 
     async def read_page(
         self, *, before: str | None, limit: int, now: float, find: FindGenerations
--- a/src/ibiswick/_internal/commands/admin.py
+++ b/src/ibiswick/_internal/commands/admin.py
@@ -23,6 +23,7 @@
     format_role,
     parse_role,
 )
+from .ctl_support import format_time
 
 FAILURE = 1
 USAGE = 2
@@ -87,7 +88,7 @@
 
 @token_app.command(name="list")
 async def list_tokens(*, settings: Path) -> None:
-    """List tokens: name, role, workspaces, expiry as Unix time.
+    """List tokens: name, role, workspaces, expiry.
 
     Parameters
     ----------
@@ -97,7 +98,8 @@
     for record in await _with_store(settings, lambda store: store.list()):
         scope = encode_record(record)["workspaces"]
         workspaces = scope if scope == ALL_WORKSPACES else ",".join(scope)
-        print(record.name, format_role(record.role), workspaces, record.expires or "-")
+        expiry = "-" if record.expires is None else format_time(record.expires)
+        print(record.name, format_role(record.role), workspaces, expiry)
 
 
 @token_app.command
--- a/src/ibiswick/_internal/commands/ctl_history.py
+++ b/src/ibiswick/_internal/commands/ctl_history.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from .ctl_support import ExitCode, Options, open_client, print_json, print_table, run_command
+from .ctl_support import (
+    ExitCode,
+    Options,
+    format_time,
+    open_client,
+    print_json,
+    print_table,
+    run_command,
+)
 
 
 async def history(*, limit: int = 20, before: int | None = None, options: Options) -> int:
@@ -27,7 +35,7 @@
             [
                 (
                     item["generation"],
-                    item["time"],
+                    format_time(item["time"]),
                     item["author"],
                     item["change_id"],
                     ",".join(item["touched"]),
--- a/src/ibiswick/_internal/commands/ctl_support.py
+++ b/src/ibiswick/_internal/commands/ctl_support.py
@@ -7,6 +7,7 @@
 import urllib.parse
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from enum import IntEnum
 from pathlib import Path
 from typing import Annotated, Any
@@ -128,6 +129,15 @@
     return f"{difference['document']} {difference['path']}: {before} -> {after}"
 
 
+def format_time(seconds: float) -> str:
+    """Format a Unix time.
+
+    >>> format_time(0.0)
+    '1970-01-01T00:00:00Z'
+    """
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
 def print_json(body: dict[str, Any]) -> None:
     """Print one JSON object."""
     print(json.dumps(body, indent=2))
--- a/src/ibiswick/_internal/commands/ctl_wait.py
+++ b/src/ibiswick/_internal/commands/ctl_wait.py
@@ -63,6 +63,8 @@
     status = result.status
     if status is None:
         return [f"generation {generation}: no status from the API"]
+    if result.complete and not status["workspaces"]:
+        return [f"generation {generation} changes no snapshot"]
     if result.complete:
         return [
             f"generation {generation} is in effect on {status['in_effect']} nodes"
--- a/src/ibiswick/_internal/fleet.py
+++ b/src/ibiswick/_internal/fleet.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, Generic, NamedTuple, TypeVar
+from typing import Generic, NamedTuple, TypedDict, TypeVar
 
 import msgspec
 
@@ -25,6 +25,15 @@
 SHARED_READ_S = 0.25
 
 
+class DrainRequest(TypedDict):
+    """Content of `live/drain/<vm>`; it concerns one incarnation only."""
+
+    vm: str
+    incarnation: int
+    author: str
+    time: float
+
+
 class Observation(NamedTuple):
     """Hold the reports and the current leases as read together."""
 
@@ -88,10 +97,14 @@
                     members[member.vm] = member
         return members
 
-    async def read_drains(self) -> dict[str, Any]:
+    async def read_drains(self) -> dict[str, DrainRequest]:
         """Return the requests to drain, by VM."""
-        objects = await read_all(self._platform, DRAIN_PREFIX)
-        return {item.key.removeprefix(DRAIN_PREFIX): item.value for item in objects}
+        requests = {}
+        for item in await read_all(self._platform, DRAIN_PREFIX):
+            request = self._decode(item, DrainRequest)
+            if request is not None:
+                requests[request["vm"]] = request
+        return requests
 
     async def _observe(self) -> Observation:
         statuses, leases = await asyncio.gather(
--- a/src/ibiswick/_internal/status.py
+++ b/src/ibiswick/_internal/status.py
@@ -69,7 +69,7 @@
     longer names.
     """
     current = _pick_current(reports, leases)
-    names = _list_touched(generation, head, manifest) if touched is None else touched
+    names = list_changed_workspaces(generation, head, manifest) if touched is None else touched
     workspaces = {
         name: _compute_workspace(name, _needed_generation(generation, manifest, name), current)
         for name in sorted(names)
@@ -103,7 +103,8 @@
     return current
 
 
-def _list_touched(generation: int, head: Head, manifest: Manifest) -> list[str]:
+def list_changed_workspaces(generation: int, head: Head, manifest: Manifest) -> list[str]:
+    """Return the workspaces that a generation changed, or all if the head no longer names it."""
     for change in head["recent"]:
         if change["generation"] == generation:
             return list(change["snapshots"])
--- a/src/ibiswick/_internal/tokens.py
+++ b/src/ibiswick/_internal/tokens.py
@@ -118,6 +118,11 @@
         raise ForbiddenError(f"token {token.name}: {decision.detail}")
 
 
+def can_see(token: TokenRecord, workspace: str) -> bool:
+    """Tell whether listings for a token may name a workspace."""
+    return authorize(token, Action.READ, [workspace]).allowed
+
+
 def format_role(role: Role) -> str:
     """Return the role's name as operators write it."""
     return role.name.lower()
