--- /dev/null
+++ b/src/ibiswick/_internal/access.py
@@ -0,0 +1,126 @@
+"""Check the rights of a request and record it in the audit trail."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Collection
+from typing import Any, TypeVar
+
+from .audits import AuditEntry, AuditState, AuditTrail, build_entry
+from .budgets import TokenBucket
+from .errors import (
+    ConflictError,
+    ForbiddenError,
+    IbiswickError,
+    InvalidInputError,
+    OutcomeUnknownError,
+)
+from .logs import EventLog
+from .tokens import Action, TokenRecord, require
+
+T = TypeVar("T")
+
+# Audit writes for refusals per second, so that a token without rights cannot use up the platform's
+# share of writes. Refusals above it are only logged.
+REFUSALS_PER_S = 5.0
+REFUSAL_BURST = 20.0
+
+
+class AccessControl:
+    """Authorize requests; run operations between two audit writes."""
+
+    def __init__(
+        self,
+        *,
+        trail: AuditTrail,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._trail = trail
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._refusals = TokenBucket(REFUSALS_PER_S, REFUSAL_BURST)
+        self._log = EventLog(component="access")
+
+    async def require(
+        self,
+        token: TokenRecord,
+        action: Action,
+        workspaces: Collection[str] | None,
+        *,
+        targets: Collection[str] = (),
+        change_id: str | None = None,
+    ) -> None:
+        """Raise ForbiddenError, after an audit entry, unless the token covers the action."""
+        try:
+            require(token, action, workspaces)
+        except ForbiddenError as error:
+            await self._audit_refusal(token, action, targets, change_id, error)
+            raise
+
+    async def run(
+        self,
+        token: TokenRecord,
+        action: str,
+        targets: Collection[str],
+        operation: Callable[[], Awaitable[T]],
+        *,
+        describe: Callable[[T], dict[str, Any]] | None = None,
+        change_id: str | None = None,
+        note: str = "",
+        base_generation: int = 0,
+    ) -> T:
+        """Run an operation between the entry of the attempt and that of its outcome.
+
+        `describe` returns what the completed entry says of the result.
+        """
+        entry = self._build_entry(token, action, targets, change_id)
+        entry = AuditEntry(**{**entry, "note": note, "base_generation": base_generation})
+        await self._trail.begin(entry)
+        try:
+            result = await operation()
+        except IbiswickError as error:
+            await self._trail.complete(entry, _classify(error), **_describe_error(error))
+            raise
+        outcome = {} if describe is None else describe(result)
+        await self._trail.complete(entry, "accepted" if describe else "done", **outcome)
+        return result
+
+    def _build_entry(
+        self, token: TokenRecord, action: str, targets: Collection[str], change_id: str | None
+    ) -> AuditEntry:
+        return build_entry(
+            now=self._wall_clock(),
+            change_id=change_id or uuid.uuid4().hex,
+            author=token.name,
+            action=action,
+            targets=sorted(targets),
+        )
+
+    async def _audit_refusal(
+        self,
+        token: TokenRecord,
+        action: Action,
+        targets: Collection[str],
+        change_id: str | None,
+        error: ForbiddenError,
+    ) -> None:
+        self._log.warn("request-refused", token=token.name, action=action, detail=error)
+        if self._refusals.take(self._clock()) > 0:
+            return
+        entry = self._build_entry(token, action, targets, change_id)
+        await self._trail.complete(entry, "refused", **_describe_error(error))
+
+
+def _classify(error: IbiswickError) -> AuditState:
+    if isinstance(error, OutcomeUnknownError):
+        return "unknown"
+    return "conflict" if isinstance(error, ConflictError) else "refused"
+
+
+def _describe_error(error: IbiswickError) -> dict[str, Any]:
+    outcome: dict[str, Any] = {"code": error.code, "detail": error.detail}
+    if isinstance(error, InvalidInputError):
+        outcome["problems"] = [problem._asdict() for problem in error.problems]
+    return outcome
