--- /dev/null
+++ b/src/ibiswick/_internal/oracle.py
@@ -0,0 +1,425 @@
+"""Check the nine promises of docs/design.md, section 2, on recorded events.
+
+Times are Unix times in seconds from one clock.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+LEAVING_BOUND_S = 3.0
+CONVERGENCE_BOUND_S = 5.0
+
+PROMISES = {
+    1: "no proxy goes back to an older configuration",
+    2: "no route refers to something the proxy does not have",
+    3: "a bad version is never partially applied",
+    4: "a caller gets the complete response to its own request",
+    5: '"not run" is reported only for a call that did not run',
+    6: "a non-idempotent call runs at most once",
+    7: "a leaving backend server gets no new work",
+    8: "a planned stop cuts off no request in flight",
+    9: "an accepted configuration is in effect everywhere and stays",
+}
+
+
+class Outcome(StrEnum):
+    """What the caller learned about a call."""
+
+    OK = "ok"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    REJECTED = "rejected"
+    SERVER_ERROR = "server-error"
+    CUT_OFF = "cut-off"
+    NOT_CONNECTED = "not-connected"
+    CANCELLED = "cancelled"
+
+
+class Call(NamedTuple):
+    """Record one call as its caller saw it.
+
+    `answer_id` and `echoed_bytes` come from the response body; `received_bytes` and
+    `expected_bytes` are lengths of the response, `sent_bytes` is the length of the request.
+    """
+
+    request_id: str
+    call_class: str
+    idempotent: bool
+    caller_vm: str
+    started: float
+    finished: float
+    outcome: Outcome
+    status: int = 0
+    code: str = ""
+    answer_id: str = ""
+    answer_vm: str = ""
+    sent_bytes: int = 0
+    echoed_bytes: int = 0
+    received_bytes: int = 0
+    expected_bytes: int = 0
+
+
+class Work(NamedTuple):
+    """Record one piece of work of a backend server; without `effect` it did not run."""
+
+    request_id: str
+    vm: str
+    path: str
+    started: float
+    effect: float | None
+    finished: float | None
+    aborted: float | None
+
+
+class NodeStart(NamedTuple):
+    """Record the start of a node's process."""
+
+    vm: str
+    workspace: str
+    at: float
+
+
+class FloorConfirmed(NamedTuple):
+    """Record that a node began to serve its configuration."""
+
+    vm: str
+    at: float
+
+
+class Applied(NamedTuple):
+    """Record that a node put a snapshot into effect."""
+
+    vm: str
+    workspace: str
+    generation: int
+    digest: str
+    at: float
+
+
+class Accepted(NamedTuple):
+    """Record an accepted change; `snapshots` maps each changed workspace to its digest."""
+
+    generation: int
+    at: float
+    snapshots: Mapping[str, str]
+
+
+class Leaving(NamedTuple):
+    """Record that a node announced its backend server as leaving."""
+
+    vm: str
+    at: float
+
+
+class PlannedStop(NamedTuple):
+    """Record the start of a drain."""
+
+    vm: str
+    at: float
+
+
+class Outage(NamedTuple):
+    """Record a time in which a node was killed, paused, stopped or unreachable."""
+
+    vm: str
+    at: float
+    until: float
+
+
+class Content(NamedTuple):
+    """Hold what a snapshot says, as far as references go."""
+
+    services: frozenset[str]
+    routes: Mapping[str, str]
+
+
+class History(NamedTuple):
+    """Hold everything recorded in one run."""
+
+    calls: Sequence[Call] = ()
+    work: Sequence[Work] = ()
+    starts: Sequence[NodeStart] = ()
+    floors: Sequence[FloorConfirmed] = ()
+    applied: Sequence[Applied] = ()
+    accepted: Sequence[Accepted] = ()
+    leaving: Sequence[Leaving] = ()
+    stops: Sequence[PlannedStop] = ()
+    outages: Sequence[Outage] = ()
+    contents: Mapping[str, Content] = {}
+    ended: float = math.inf
+
+
+class Violation(NamedTuple):
+    """Describe one broken promise with its evidence."""
+
+    promise: int
+    detail: str
+    evidence: tuple[Any, ...]
+
+
+class Verdict(NamedTuple):
+    """Say how many facts were checked for a promise and which broke it."""
+
+    promise: int
+    checked: int
+    violations: tuple[Violation, ...]
+
+
+Findings = Iterator[Violation | None]
+"""One item for each checked fact: None where the promise held."""
+
+
+def check_all(history: History) -> list[Verdict]:
+    """Check every promise; a verdict with `checked` 0 means that the run could not tell."""
+    return [check_promise(number, history) for number in CHECKERS]
+
+
+def check_promise(number: int, history: History) -> Verdict:
+    """Check one promise."""
+    findings = list(CHECKERS[number](history))
+    violations = tuple(finding for finding in findings if finding is not None)
+    return Verdict(number, len(findings), violations)
+
+
+def check_generations(history: History) -> Findings:
+    """Check promise 1: what a VM serves is monotonic, also across restarts.
+
+    A restarted node may apply an older snapshot as long as it does not serve it, so what it applied
+    before its floor was confirmed counts only within its own process.
+    """
+    events = _merge_by_vm(history.starts, history.applied, history.floors)
+    for vm, records in events.items():
+        served: Applied | None = None
+        latest: Applied | None = None
+        serving = False
+        for record in records:
+            if isinstance(record, NodeStart):
+                latest, serving = None, False
+                continue
+            if isinstance(record, FloorConfirmed):
+                serving = True
+            else:
+                yield _compare_generations(vm, latest, record)
+                latest = record
+            if serving and latest is not None:
+                yield _compare_generations(vm, served, latest)
+                served = latest
+
+
+def _compare_generations(vm: str, before: Applied | None, after: Applied) -> Violation | None:
+    if before is None or after.generation >= before.generation:
+        return None
+    detail = f"{vm} went from generation {before.generation} to {after.generation}"
+    return Violation(1, detail, (before, after))
+
+
+def check_references(history: History) -> Findings:
+    """Check promise 2: every route of every applied snapshot refers to a service in it."""
+    for applied in history.applied:
+        content = history.contents.get(applied.digest)
+        if content is None:
+            continue
+        dangling = {
+            route: service
+            for route, service in content.routes.items()
+            if service not in content.services
+        }
+        detail = f"{applied.vm} applied routes to missing services: {dangling}"
+        yield Violation(2, detail, (applied,)) if dangling else None
+
+
+def check_contents(history: History) -> Findings:
+    """Check promise 3: what was applied equals an accepted snapshot, by digest."""
+    accepted = {
+        (workspace, digest, change.generation)
+        for change in history.accepted
+        for workspace, digest in change.snapshots.items()
+    }
+    for applied in history.applied:
+        known = (applied.workspace, applied.digest, applied.generation) in accepted
+        detail = f"{applied.vm} applied content that was not accepted at {applied.generation}"
+        yield None if known else Violation(3, detail, (applied,))
+
+
+def check_responses(history: History) -> Findings:
+    """Check promise 4: a response that looks whole is whole and answers this request."""
+    for call in history.calls:
+        if call.outcome is not Outcome.OK:
+            continue
+        faults = list(_list_response_faults(call))
+        yield Violation(4, f"{call.request_id}: {'; '.join(faults)}", (call,)) if faults else None
+
+
+def _list_response_faults(call: Call) -> Iterator[str]:
+    if call.answer_id != call.request_id:
+        yield f"answered with the response to {call.answer_id!r}"
+    if call.received_bytes != call.expected_bytes:
+        yield f"{call.received_bytes} bytes instead of {call.expected_bytes}"
+    if call.echoed_bytes != call.sent_bytes:
+        yield f"backend server got {call.echoed_bytes} bytes of {call.sent_bytes}"
+
+
+def check_not_run(history: History) -> Findings:
+    """Check promise 5: a call reported as not run is in no ledger."""
+    ran = _group_effects(history.work)
+    for call in history.calls:
+        if call.outcome is not Outcome.NOT_RUN:
+            continue
+        work = ran.get(call.request_id, ())
+        detail = (
+            f"{call.request_id} was reported as not run and ran on {work[0].vm if work else ''}"
+        )
+        yield Violation(5, detail, (call, *work)) if work else None
+
+
+def check_runs(history: History) -> Findings:
+    """Check promise 6: a non-idempotent call took effect at most once."""
+    ran = _group_effects(history.work)
+    for call in history.calls:
+        if call.idempotent:
+            continue
+        work = ran.get(call.request_id, ())
+        detail = f"{call.request_id} ran {len(work)} times"
+        yield Violation(6, detail, (call, *work)) if len(work) > 1 else None
+
+
+def check_leaving(history: History, *, bound_s: float = LEAVING_BOUND_S) -> Findings:
+    """Check promise 7: no work starts later than the bound after leaving was announced."""
+    for leaving in history.leaving:
+        until = _find_next_start(history.starts, leaving.vm, leaving.at)
+        late = [
+            work
+            for work in history.work
+            if work.vm == leaving.vm and leaving.at + bound_s < work.started < until
+        ]
+        detail = f"{leaving.vm} got {len(late)} new calls while it was leaving"
+        yield Violation(7, detail, (leaving, *late)) if late else None
+
+
+def check_stops(history: History) -> Findings:
+    """Check promise 8: no call that ran when a planned stop began was cut off by it."""
+    calls = {call.request_id: call for call in history.calls}
+    for stop in history.stops:
+        on_server = {
+            work.request_id
+            for work in history.work
+            if work.vm == stop.vm and work.started < stop.at <= _end_of(work)
+        }
+        at_caller = {
+            call.request_id
+            for call in history.calls
+            if call.caller_vm == stop.vm and call.started < stop.at <= call.finished
+        }
+        for request_id in on_server | at_caller:
+            call = calls.get(request_id)
+            if call is not None:
+                yield _judge_stop(stop, call)
+
+
+def _judge_stop(stop: PlannedStop, call: Call) -> Violation | None:
+    # A deadline (504) ends a call for its own reason; 502 and a closed connection do not.
+    lost = call.outcome is Outcome.CUT_OFF or (
+        call.outcome is Outcome.UNKNOWN and call.status != 504
+    )
+    if not lost or call.finished < stop.at:
+        return None
+    detail = f"{call.request_id} was cut off by the planned stop of {stop.vm}"
+    return Violation(8, detail, (stop, call))
+
+
+def check_convergence(history: History, *, bound_s: float = CONVERGENCE_BOUND_S) -> Findings:
+    """Check promise 9: each node that was up has each accepted snapshot in time, to the end."""
+    applied = _merge_by_vm(history.applied)
+    for vm, workspace, since in _list_served_nodes(history):
+        own = applied.get(vm, ())
+        for change in history.accepted:
+            if workspace not in change.snapshots:
+                continue
+            due = max(change.at, since) + bound_s
+            if due > history.ended or _was_out(history, vm, change.at, due):
+                continue
+            in_time = any(item.generation >= change.generation for item in own if item.at <= due)
+            detail = f"{vm} did not have generation {change.generation} within {bound_s:g} s"
+            yield None if in_time else Violation(9, detail, (change, *own[-2:]))
+        yield _judge_end(history, vm, workspace, own, bound_s)
+
+
+def _judge_end(
+    history: History, vm: str, workspace: str, own: Sequence[Applied], bound_s: float
+) -> Violation | None:
+    changes = [
+        change
+        for change in history.accepted
+        if workspace in change.snapshots and change.at + bound_s <= history.ended
+    ]
+    if not changes or _was_out(history, vm, changes[-1].at, history.ended):
+        return None
+    wanted = changes[-1]
+    if own and own[-1].generation >= wanted.generation:
+        return None
+    return Violation(9, f"{vm} ended without generation {wanted.generation}", (wanted, *own[-1:]))
+
+
+def _list_served_nodes(history: History) -> Iterator[tuple[str, str, float]]:
+    """List VM, workspace and the time of the first confirmed floor of each node."""
+    floors: dict[str, float] = {}
+    for floor in sorted(history.floors, key=lambda item: item.at):
+        floors.setdefault(floor.vm, floor.at)
+    workspaces = {start.vm: start.workspace for start in history.starts}
+    for vm, workspace in sorted(workspaces.items()):
+        if vm in floors:
+            yield vm, workspace, floors[vm]
+
+
+def _was_out(history: History, vm: str, start: float, end: float) -> bool:
+    return any(
+        outage.vm == vm and outage.at < end and start < outage.until for outage in history.outages
+    )
+
+
+def _find_next_start(starts: Iterable[NodeStart], vm: str, after: float) -> float:
+    return min(
+        (start.at for start in starts if start.vm == vm and start.at > after), default=math.inf
+    )
+
+
+def _group_effects(work: Iterable[Work]) -> dict[str, list[Work]]:
+    grouped: dict[str, list[Work]] = collections.defaultdict(list)
+    for item in work:
+        if item.effect is not None:
+            grouped[item.request_id].append(item)
+    return grouped
+
+
+def _end_of(work: Work) -> float:
+    ends = [at for at in (work.finished, work.aborted) if at is not None]
+    return min(ends, default=math.inf)
+
+
+def _merge_by_vm(*kinds: Iterable[Any]) -> dict[str, list[Any]]:
+    """Group records by VM in order of time; at the same time, in the order of the kinds."""
+    grouped: dict[str, list[Any]] = collections.defaultdict(list)
+    for kind in kinds:
+        for record in kind:
+            grouped[record.vm].append(record)
+    for records in grouped.values():
+        records.sort(key=lambda record: record.at)
+    return grouped
+
+
+CHECKERS: Mapping[int, Callable[[History], Findings]] = {
+    1: check_generations,
+    2: check_references,
+    3: check_contents,
+    4: check_responses,
+    5: check_not_run,
+    6: check_runs,
+    7: check_leaving,
+    8: check_stops,
+    9: check_convergence,
+}
