--- /dev/null
+++ b/src/ibiswick/_internal/commands/load_demo.py
@@ -0,0 +1,30 @@
+"""Implement `ibiswick-load demo`."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Literal
+
+import uvloop
+
+from ..standins.demo import run_demo
+
+
+def demo(
+    deployment: Literal["yorgan", "bakony"],
+    *,
+    deployments: Path = Path("deployments"),
+    seed: int = 1,
+    keep: Path | None = None,
+) -> None:
+    """Run a deployment under load and disturbances and check the nine promises.
+
+    The exit code is 1 after a violation, with a promise that could not be checked, or with a call
+    class without traffic. `--keep DIRECTORY` keeps logs and ledgers.
+    """
+    try:
+        passed = uvloop.run(run_demo(deployment, deployments / deployment, seed=seed, keep=keep))
+    except KeyboardInterrupt:
+        sys.exit(130)
+    sys.exit(0 if passed else 1)
--- a/src/ibiswick/_internal/oracle.py
+++ b/src/ibiswick/_internal/oracle.py
@@ -43,6 +43,7 @@
 class Call(NamedTuple):
     """Record one call as its caller saw it.
 
+    `due` is when an open-loop generator meant to start the call, `started` when it did.
     `answer_id` and `echoed_bytes` come from the response body; `received_bytes` and
     `expected_bytes` are lengths of the response, `sent_bytes` is the length of the request.
     """
@@ -62,6 +63,7 @@
     echoed_bytes: int = 0
     received_bytes: int = 0
     expected_bytes: int = 0
+    due: float = 0.0
 
 
 class Work(NamedTuple):
--- a/src/ibiswick/_internal/standins/backend.py
+++ b/src/ibiswick/_internal/standins/backend.py
@@ -224,6 +224,9 @@
                 await self._run_in_slot(request, entry, deadline, watcher)
             finally:
                 watcher.cancel()
+        if request.client in self._silent:
+            await _wait_disconnect(receive)
+            raise _DisconnectedError
         await self._respond(request, entry, digest, send)
 
     async def _read_body(self, entry: LedgerEntry, receive: Receive) -> str:
@@ -288,8 +291,6 @@
     async def _respond(
         self, request: _Request, entry: LedgerEntry, digest: str, send: Send
     ) -> None:
-        if request.client in self._silent:
-            await asyncio.Event().wait()
         failed = self._rng.random() < self.faults.fail
         cut = self._rng.random() < self.faults.cut_body
         document = {
--- /dev/null
+++ b/src/ibiswick/_internal/standins/processes.py
@@ -0,0 +1,148 @@
+"""Start and signal the processes of a rig, each by its own process id."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import socket
+import sys
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+
+_STOP_S = 5.0
+# Ports below the ephemeral range cannot collide with outgoing connections of other processes.
+_LOWEST_PORT = 12_000
+_HIGHEST_PORT = 32_000
+
+
+class ProcessFailedError(Exception):
+    """Report a program that ended with an error or before it was ready."""
+
+
+class Process:
+    """Run one of ibiswick's programs; its standard error goes to a file."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        program: str,
+        arguments: tuple[str, ...],
+        log: Path,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
+        self.name = name
+        self.log = log
+        self._command = (sys.executable, "-m", f"ibiswick._internal.commands.{program}", *arguments)
+        self._environment = {**os.environ, **(environment or {})}
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id; raise ProcessFailedError when it was never started."""
+        if self._process is None:
+            raise ProcessFailedError(f"{self.name} was not started")
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process; its log is appended to."""
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self._command,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=self._environment,
+                # Ctrl-C goes to the rig, which then ends its processes itself.
+                start_new_session=True,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self.running and self._process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        self.signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Ask the process to end."""
+        self.signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Stop the process without its knowledge."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Continue a paused process."""
+        self.signal(signal.SIGCONT)
+
+    async def wait(self, *, timeout_s: float) -> int:
+        """Wait for the end; raise TimeoutError."""
+        if self._process is None:
+            raise ProcessFailedError(f"{self.name} was not started")
+        async with asyncio.timeout(timeout_s):
+            return await self._process.wait()
+
+    async def stop(self) -> None:
+        """End the process, by force when it does not end by itself."""
+        if not self.running:
+            return
+        self.resume()
+        self.terminate()
+        try:
+            await self.wait(timeout_s=_STOP_S)
+        except TimeoutError:
+            self.kill()
+            await self.wait(timeout_s=_STOP_S)
+
+
+async def run_program(
+    program: str, *arguments: str, environment: Mapping[str, str] | None = None
+) -> str:
+    """Run a program to its end and return its output; raise ProcessFailedError."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", f"ibiswick._internal.commands.{program}", *arguments),
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, **(environment or {})},
+    )
+    try:
+        output, errors = await process.communicate()
+    except asyncio.CancelledError:
+        process.kill()
+        raise
+    if process.returncode:
+        text = f"{output.decode()}{errors.decode()}".strip()
+        raise ProcessFailedError(f"{program} {' '.join(arguments)}: {process.returncode}: {text}")
+    return output.decode()
+
+
+def find_ports(rng: random.Random) -> Iterator[int]:
+    """Yield ports of the loopback interface that are free now, each only once."""
+    first = rng.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+    for offset in range(_HIGHEST_PORT - _LOWEST_PORT):
+        port = _LOWEST_PORT + (first - _LOWEST_PORT + offset) % (_HIGHEST_PORT - _LOWEST_PORT)
+        if _is_free(port):
+            yield port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
