--- /dev/null
+++ b/src/ibiswick/_internal/standins/convergence.py
@@ -0,0 +1,54 @@
+"""Compute from a history how long accepted changes took to be in effect."""
+
+from __future__ import annotations
+
+import collections
+from typing import NamedTuple
+
+from ..oracle import Accepted, History
+
+
+class Convergence(NamedTuple):
+    """Tell when nodes applied a change; delays are in seconds since its acceptance.
+
+    `delays` holds one value for each node that applied it; `missing` names those that were up and
+    did not.
+    """
+
+    generation: int
+    delays: tuple[float, ...]
+    missing: tuple[str, ...]
+
+    @property
+    def last_s(self) -> float:
+        """Return the time until the last node had the change."""
+        return max(self.delays, default=float("nan"))
+
+
+def list_convergence(history: History, workspace: str) -> list[Convergence]:
+    """List the convergence of every change of a workspace, for nodes that ran all the time."""
+    changes = [change for change in history.accepted if workspace in change.snapshots]
+    return [
+        _measure_change(history, change) for change in sorted(changes, key=lambda item: item.at)
+    ]
+
+
+def _measure_change(history: History, change: Accepted) -> Convergence:
+    first: dict[str, float] = {}
+    for applied in history.applied:
+        if applied.generation >= change.generation:
+            first[applied.vm] = min(applied.at, first.get(applied.vm, applied.at))
+    up = _list_steady(history, change.at)
+    delays = [first[vm] - change.at for vm in up if vm in first]
+    return Convergence(
+        change.generation, tuple(delays), tuple(sorted(vm for vm in up if vm not in first))
+    )
+
+
+def _list_steady(history: History, at: float) -> set[str]:
+    """List the VMs that had started before a time and were not out at or after it."""
+    starts: dict[str, list[float]] = collections.defaultdict(list)
+    for start in history.starts:
+        starts[start.vm].append(start.at)
+    out = {outage.vm for outage in history.outages if outage.until > at}
+    return {vm for vm, times in starts.items() if min(times) < at and max(times) < at} - out
--- a/src/ibiswick/_internal/standins/load.py
+++ b/src/ibiswick/_internal/standins/load.py
@@ -97,6 +97,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def probe(self, chosen: CallClass, target: Target) -> Call:
+        """Make one call that is not recorded."""
+        self._count += 1
+        return await make_call(self._client, chosen, target, f"{self._run_id}-{self._count}")
+
+    def remove_target(self, vm: str) -> None:
+        """Send no more calls through a node."""
+        self.targets = [target for target in self.targets if target.vm != vm]
+
     async def _make_call(self, chosen: CallClass, target: Target, due: float) -> None:
         self._count += 1
         request_id = f"{self._run_id}-{self._count}"
--- a/src/ibiswick/_internal/standins/processes.py
+++ b/src/ibiswick/_internal/standins/processes.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 
+_SOURCES = Path(__file__).resolve().parents[3]
 _STOP_S = 5.0
 # Ports below the ephemeral range cannot collide with outgoing connections of other processes.
 _LOWEST_PORT = 12_000
@@ -36,8 +37,8 @@
     ) -> None:
         self.name = name
         self.log = log
-        self._command = (sys.executable, "-m", f"ibiswick._internal.commands.{program}", *arguments)
-        self._environment = {**os.environ, **(environment or {})}
+        self._command = _build_command(program, arguments)
+        self._environment = _build_environment(environment)
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -112,11 +113,11 @@
 ) -> str:
     """Run a program to its end and return its output; raise ProcessFailedError."""
     process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", f"ibiswick._internal.commands.{program}", *arguments),
+        *_build_command(program, arguments),
         stdin=asyncio.subprocess.DEVNULL,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, **(environment or {})},
+        env=_build_environment(environment),
     )
     try:
         output, errors = await process.communicate()
@@ -129,6 +130,17 @@
     return output.decode()
 
 
+def _build_environment(extra: Mapping[str, str] | None) -> dict[str, str]:
+    # The programs must come from the same checkout as the rig.
+    return {**os.environ, "PYTHONPATH": str(_SOURCES), **(extra or {})}
+
+
+def _build_command(program: str, arguments: tuple[str, ...]) -> tuple[str, ...]:
+    # Works without installed entry points.
+    script = f"from ibiswick._internal.commands.{program} import main; main()"
+    return (sys.executable, "-c", script, *arguments)
+
+
 def find_ports(rng: random.Random) -> Iterator[int]:
     """Yield ports of the loopback interface that are free now, each only once."""
     first = rng.randrange(_LOWEST_PORT, _HIGHEST_PORT)
--- a/src/ibiswick/_internal/standins/rig.py
+++ b/src/ibiswick/_internal/standins/rig.py
@@ -135,13 +135,18 @@
 
     async def start_vm(self, vm: str) -> None:
         """Start one backend server, unless it is a shared one that runs, and its node."""
+        await self.start_backend(vm)
+        node = self.nodes[vm]
+        await self._launch_node(node)
+        await self._wait_listening(node.caller_port, f"node-{vm}")
+
+    async def start_backend(self, vm: str) -> None:
+        """Start the backend server beside a node unless it runs."""
         node = self.nodes[vm]
         backend = f"backend-{node.backend_vm}"
         if backend not in self.processes or not self.processes[backend].running:
             await self._launch(backend, "backend", self._build_backend_arguments(node))
         await self._wait_listening(node.backend_port, backend)
-        await self._launch_node(node)
-        await self._wait_listening(node.caller_port, f"node-{vm}")
 
     async def _launch_node(self, node: NodePlan) -> None:
         settings = self._write_settings(f"node-{node.vm}", self._build_node_settings(node))
@@ -190,6 +195,10 @@
             if f"node-{vm}" in self.processes and self.get_node(vm).running
         ]
 
+    def locate_backend(self, vm: str) -> Target:
+        """Return the address of the backend server beside a node."""
+        return Target(vm, HOST, self.nodes[vm].backend_port)
+
     def read_node_events(self) -> Iterator[tuple[str, Event]]:
         """Yield the log events of every node, VM by VM."""
         for vm in self.nodes:
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,50 @@
+"""Test that the rig ends what it started and reads what its processes wrote."""
+
+import os
+
+import pytest
+
+from ibiswick._internal.standins.client import Client
+from ibiswick._internal.standins.evidence import read_ledgers
+from ibiswick._internal.standins.load import CallClass, make_call
+from ibiswick._internal.standins.rig import Plan, Rig, ServicePlan
+
+PLAN = Plan("w", "r", ("z-1", "z-2"), (ServicePlan("desk", 3),))
+STATUS = CallClass("status", "h", "/status", 1.0, True)
+
+
+async def fail_in_the_middle(rig: Rig) -> None:
+    async with rig:
+        await rig.start_backend("desk-1")
+        await rig.start_backend("desk-2")
+        rig.get_backend("desk-2").pause()
+        os.kill(rig.get_backend("desk-1").pid, 0)
+        raise RuntimeError("in the middle")
+
+
+async def test_processes_end_with_the_rig_even_after_an_error(tmp_path) -> None:
+    """Guard against processes that stay behind on the machine."""
+    rig = Rig(plan=PLAN, directory=tmp_path)
+    with pytest.raises(RuntimeError, match="in the middle"):
+        await fail_in_the_middle(rig)
+    assert len(rig.processes) == 2
+    assert not any(process.running for process in rig.processes.values())
+
+
+async def test_ledger_survives_a_killed_backend_server(tmp_path) -> None:
+    """Guard against a kill that removes the evidence of what ran."""
+    async with Rig(plan=PLAN, directory=tmp_path) as rig:
+        await rig.start_backend("desk-1")
+        client = Client()
+        call = await make_call(client, STATUS, rig.locate_backend("desk-1"), "c1")
+        client.close()
+        rig.get_backend("desk-1").kill()
+        assert call.answer_vm == "desk-1"
+        assert [work.request_id for work in read_ledgers(tmp_path)] == ["c1"]
+
+
+def test_availability_zones_and_ports_are_spread() -> None:
+    nodes = list(Rig(plan=PLAN).nodes.values())
+    assert [node.availability_zone for node in nodes] == ["z-1", "z-2", "z-1"]
+    ports = [node[5:] for node in nodes]
+    assert len({port for group in ports for port in group}) == 4 * len(nodes)
