--- a/src/ibiswick/_internal/standins/demo.py
+++ b/src/ibiswick/_internal/standins/demo.py
@@ -16,7 +16,7 @@
 from ..oracle import CONVERGENCE_BOUND_S, History, Outcome, Verdict, check_all
 from .convergence import Convergence, list_convergence
 from .deployments import DEPLOYMENTS, Deployment
-from .documents import edit_configuration
+from .documents import EditKind, WorkingCopy
 from .evidence import collect_history
 from .load import CallClass, LoadGenerator, summarize
 from .rig import Rig, cancel_on_signals
@@ -27,7 +27,7 @@
 _PAUSE_S = 2.0
 _DOWN_S = 2.0
 _ROUTED_S = 20.0
-_CHANGES_UNDER_LOAD = 4
+_CHANGES_UNDER_LOAD: tuple[EditKind, ...] = ("parameter", "template", "parameter", "template")
 _CONTROL_BYTES = "ibiswick_control_bytes_total"
 
 
@@ -66,7 +66,7 @@
     def __init__(self, rig: Rig, deployment: Deployment, configuration: Path, seed: int) -> None:
         self._rig = rig
         self._deployment = deployment
-        self._configuration = configuration
+        self._copy = WorkingCopy(source=configuration, directory=rig.directory / "configuration")
         self._load = LoadGenerator(
             targets=rig.list_targets(), classes=deployment.classes, seed=seed, run_id=f"demo-{seed}"
         )
@@ -76,8 +76,8 @@
         _say("starting the platform, the administration API and the nodes")
         await self._rig.start()
         _say("applying the configuration")
-        await self._rig.control("apply", str(self._configuration))
-        await self._rig.wait_events("floor-confirmed", self._rig.nodes)
+        await self._rig.control("apply", str(self._copy.directory))
+        await self._rig.wait_events("snapshot-applied", self._rig.nodes)
         self._load.targets = self._rig.list_targets()
         await self._wait_routed()
         self._begun = time.time()
@@ -106,8 +106,8 @@
     async def _disturb(self) -> None:
         archive, counter = self._deployment.plan.services[1], self._deployment.plan.services[0]
         await asyncio.sleep(_PAUSE_S)
-        for number in range(_CHANGES_UNDER_LOAD):
-            await self._change(number)
+        for kind in _CHANGES_UNDER_LOAD:
+            await self._change(kind)
         drained, killed = f"{archive.name}-1", f"{counter.name}-2"
         _say(f"draining {drained}")
         await self._rig.control("drain", drained)
@@ -116,18 +116,16 @@
         self._load.remove_target(killed)
         self._rig.kill_vm(killed)
         await asyncio.sleep(_DOWN_S)
-        await self._change(_CHANGES_UNDER_LOAD)
+        await self._change("parameter")
         _say(f"restarting {killed}")
         restarted = time.time()
         await self._rig.restart_vms([killed])
-        floors = await self._rig.wait_events("floor-confirmed", [killed], after=restarted)
-        self._rig.end_outage(killed, floors[killed].at)
-
-    async def _change(self, number: int) -> None:
-        with tempfile.TemporaryDirectory(prefix="ibiswick-") as temporary:
-            edited = edit_configuration(self._configuration, Path(temporary), number)
-            _say(f"applying change {number + 1}: {edited}")
-            await self._rig.control("apply", temporary)
+        applied = await self._rig.wait_events("snapshot-applied", [killed], after=restarted)
+        self._rig.end_outage(killed, applied[killed].at)
+
+    async def _change(self, kind: EditKind) -> None:
+        _say(f"applying a change: {self._copy.edit(kind)}")
+        await self._rig.control("apply", str(self._copy.directory))
 
     async def _conclude(self) -> DemoResult:
         seconds = time.time() - self._begun
--- /dev/null
+++ b/src/ibiswick/_internal/standins/measure_convergence.py
@@ -0,0 +1,186 @@
+"""Measure how long accepted changes and endpoint changes take to reach every node."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+from .convergence import Convergence
+from .deployments import Deployment
+from .documents import EditKind
+from .load import find_percentile
+from .rig import Rig
+from .sections import (
+    Fleet,
+    Section,
+    format_spread,
+    join_delays,
+    scale_plan,
+    start_fleet,
+    sum_metric,
+)
+
+_CHANGES = 5
+_GATHER_S = (0.0, 0.02, 0.1, 0.5, 2.0)
+_BURST_CHANGES = 20
+_BURST_GAP_S = 0.1
+_SETTLE_S = 3.0
+_SLOW_S = 0.2
+_ENDPOINT_S = 30.0
+_NODES_OF_CURVE = 24
+
+CONTROL_BYTES = "ibiswick_control_bytes_total"
+HEADINGS = ["nodes", "change", "changes", "p50 ms", "p99 ms", "last node ms"]
+
+
+async def measure_changes(fleet: Fleet) -> tuple[list[list[str | int]], list[float]]:
+    """Measure parameter and template changes; return table rows and the delays in ms."""
+    rows = []
+    delays: list[float] = []
+    kinds: tuple[EditKind, ...] = ("parameter", "template")
+    for kind in kinds:
+        changes = await _apply_changes(fleet, kind, _CHANGES)
+        rows.append(_format_changes(fleet, kind, changes))
+        delays += join_delays(changes)
+    return rows, delays
+
+
+async def measure_disturbed(fleet: Fleet) -> list[list[str | int]]:
+    """Measure changes with a slow platform and with a zone root that was just killed."""
+    rig = fleet.rig
+    await rig.set_platform_faults({"slow_s": _SLOW_S})
+    slow = await _apply_changes(fleet, "parameter", 3)
+    await rig.set_platform_faults({"slow_s": 0.0})
+    root = find_root(rig)
+    rig.kill_vm(root)
+    killed = await _apply_changes(fleet, "parameter", 1)
+    later = await _apply_changes(fleet, "parameter", 3)
+    await restart_vms(rig, [root])
+    return [
+        _format_changes(fleet, f"parameter, platform {_SLOW_S:g} s slow", slow),
+        _format_changes(fleet, "parameter, zone root killed just before", killed),
+        _format_changes(fleet, "parameter, the next ones after that", later),
+    ]
+
+
+async def measure_endpoint(fleet: Fleet) -> list[list[str | int]]:
+    """Measure how long one leaving and one killed backend server take to be known everywhere."""
+    rig = fleet.rig
+    leaving, killed = list(rig.nodes)[4:6]
+    at = time.time()
+    await rig.control("drain", leaving)
+    announced = (await rig.wait_events("leaving-announced", [leaving], after=at))[leaving].at
+    left = await _list_endpoint_delays(rig, {leaving}, announced)
+    at = time.time()
+    rig.kill_vm(killed)
+    lost = await _list_endpoint_delays(rig, {leaving, killed}, at)
+    return [
+        _format_delays(fleet, "one endpoint leaves", [left]),
+        _format_delays(fleet, "one endpoint is killed (includes the time to notice)", [lost]),
+    ]
+
+
+async def measure_gather(deployment: Deployment, configuration: Path) -> Section:
+    """Measure control bytes against convergence for several gather times."""
+    rows = []
+    verdicts = []
+    for gather_s in _GATHER_S:
+        plan = scale_plan(deployment, _NODES_OF_CURVE, gather_s=gather_s)
+        async with start_fleet(plan, configuration) as fleet:
+            await asyncio.sleep(_SETTLE_S)
+            before = await sum_metric(fleet.rig, CONTROL_BYTES)
+            first = len(await fleet.list_convergence())
+            started = time.monotonic()
+            for _ in range(_BURST_CHANGES):
+                await fleet.change_without_waiting()
+                await asyncio.sleep(_BURST_GAP_S)
+            await asyncio.sleep(_SETTLE_S + gather_s)
+            seconds = time.monotonic() - started
+            after = await sum_metric(fleet.rig, CONTROL_BYTES)
+            changes = await fleet.list_convergence(skip=first)
+            verdicts += await fleet.check()
+        spent = [after[vm] - before[vm] for vm in after]
+        delays = join_delays(changes)
+        rows.append(
+            [
+                f"{gather_s:g}",
+                f"{sum(spent) / len(spent) / _BURST_CHANGES:.0f}",
+                f"{max(spent) / seconds:.0f}",
+                f"{find_percentile(delays, 50):.0f}",
+                f"{find_percentile(delays, 99):.0f}",
+            ]
+        )
+    return Section(
+        f"Gather time, {_NODES_OF_CURVE} nodes, {_BURST_CHANGES} changes {_BURST_GAP_S:g} s apart "
+        "(bytes include heartbeats)",
+        ["gather s", "bytes/change/node", "largest bytes/s", "p50 ms", "p99 ms"],
+        rows,
+        verdicts=verdicts,
+    )
+
+
+async def restart_vms(rig: Rig, vms: Sequence[str]) -> float:
+    """Restart killed nodes; return the seconds until the last one serves the newest snapshot."""
+    at = time.time()
+    await rig.restart_vms(vms)
+    applied = await rig.wait_events("snapshot-applied", vms, after=at, timeout_s=60.0)
+    for vm, event in applied.items():
+        rig.end_outage(vm, event.at)
+    return max(event.at for event in applied.values()) - at
+
+
+def find_root(rig: Rig) -> str:
+    """Return the node that took a zone-root lease first."""
+    taken = [(event.at, vm) for vm, event in rig.read_node_events() if event.name == "lease-taken"]
+    return min(taken)[1]
+
+
+async def _apply_changes(fleet: Fleet, kind: EditKind, count: int) -> list[Convergence]:
+    """Apply changes one after the other, each once the one before is in effect everywhere."""
+    first = len(await fleet.list_convergence())
+    for number in range(count):
+        if kind == "parameter":
+            await fleet.change_without_waiting()
+        else:
+            await fleet.change(kind)
+        await _wait_applied(fleet, first + number)
+    return await fleet.list_convergence(skip=first)
+
+
+async def _wait_applied(fleet: Fleet, index: int) -> None:
+    deadline = time.monotonic() + _ENDPOINT_S
+    while time.monotonic() < deadline:
+        changes = await fleet.list_convergence(skip=index)
+        if changes and not changes[-1].missing:
+            return
+        await asyncio.sleep(0.2)
+
+
+async def _list_endpoint_delays(rig: Rig, out: set[str], at: float) -> list[float]:
+    """Return for each other node the ms until its endpoints first changed after a time."""
+    others = set(rig.nodes) - out
+    service = rig.plan.services[0].name
+    found = await rig.wait_events(
+        "endpoints-changed", others, after=at, timeout_s=_ENDPOINT_S, service=service
+    )
+    return [(event.at - at) * 1000 for event in found.values()]
+
+
+def _format_changes(fleet: Fleet, kind: str, changes: Sequence[Convergence]) -> list[str | int]:
+    return _format_delays(
+        fleet, kind, [[delay * 1000 for delay in change.delays] for change in changes]
+    )
+
+
+def _format_delays(fleet: Fleet, kind: str, changes: Sequence[Sequence[float]]) -> list[str | int]:
+    delays = [delay for change in changes for delay in change]
+    return [
+        len(fleet.rig.nodes),
+        kind,
+        len(changes),
+        f"{find_percentile(delays, 50):.0f}",
+        f"{find_percentile(delays, 99):.0f}",
+        format_spread([max(change) for change in changes if change], digits=0),
+    ]
--- /dev/null
+++ b/src/ibiswick/_internal/standins/measure_nodes.py
@@ -0,0 +1,169 @@
+"""Measure what the control plane costs each node, and what a mass restart costs the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from .deployments import Deployment
+from .measure_convergence import CONTROL_BYTES, restart_vms
+from .rig import Rig
+from .sections import Fleet, Section, format_spread, scale_plan, start_fleet, sum_metric
+from .usage import Usage, compute_cpu_percent, read_usage
+
+_REST_S = 10.0
+_CHANGES = 5
+_SETTLE_S = 2.0
+_SMALL_FLEET = 12
+
+
+class Cost(NamedTuple):
+    """Hold what nodes use while nothing changes, by VM."""
+
+    cpu_percent: Mapping[str, float]
+    rss_mb: Mapping[str, float]
+    bytes_per_s: Mapping[str, float]
+
+
+async def measure_rest(rig: Rig) -> Cost:
+    """Measure a fleet in which nothing changes and no calls are made."""
+    vms = [vm for vm in rig.nodes if rig.get_node(vm).running]
+    bytes_before = await sum_metric(rig, CONTROL_BYTES)
+    before = {vm: read_usage(rig.get_node(vm).pid) for vm in vms}
+    await asyncio.sleep(_REST_S)
+    after = {vm: read_usage(rig.get_node(vm).pid) for vm in vms}
+    bytes_after = await sum_metric(rig, CONTROL_BYTES)
+    return Cost(
+        {vm: compute_cpu_percent(before[vm], after[vm]) for vm in vms},
+        {vm: after[vm].rss_mb for vm in vms},
+        {vm: (bytes_after[vm] - bytes_before[vm]) / _span(before[vm], after[vm]) for vm in vms},
+    )
+
+
+async def measure_bytes_per_change(fleet: Fleet, rest: Cost) -> dict[str, float]:
+    """Return for each node the control bytes of one change, without those at rest."""
+    rig = fleet.rig
+    before = await sum_metric(rig, CONTROL_BYTES)
+    started = time.monotonic()
+    for _ in range(_CHANGES):
+        await fleet.change_without_waiting()
+        # Longer than every gather time in use, so that changes do not share messages.
+        await asyncio.sleep(1.0)
+    await asyncio.sleep(_SETTLE_S)
+    seconds = time.monotonic() - started
+    after = await sum_metric(rig, CONTROL_BYTES)
+    return {
+        vm: (after[vm] - before[vm] - rest.bytes_per_s[vm] * seconds) / _CHANGES for vm in after
+    }
+
+
+def list_roots(rig: Rig) -> set[str]:
+    """Return the nodes that ever took a zone-root lease."""
+    return {vm for vm, event in rig.read_node_events() if event.name == "lease-taken"}
+
+
+def format_cost(nodes: int, rest: Cost, per_change: Mapping[str, float], roots: set[str]) -> list:
+    """Return the rows of the cost table: leaves and inner nodes, then roots."""
+    rows = []
+    for name, vms in (
+        ("leaf and inner nodes", set(rest.rss_mb) - roots),
+        ("zone roots", set(rest.rss_mb) & roots),
+    ):
+        rows.append(
+            [
+                nodes,
+                f"{len(vms)} {name}",
+                format_spread([rest.bytes_per_s[vm] for vm in vms], digits=0),
+                format_spread([per_change[vm] for vm in vms if vm in per_change], digits=0),
+                format_spread([rest.cpu_percent[vm] for vm in vms]),
+                format_spread([rest.rss_mb[vm] for vm in vms], digits=1),
+            ]
+        )
+    return rows
+
+
+async def measure_control_share(deployment: Deployment, configuration: Path) -> Section:
+    """Compare nodes with and without their control plane."""
+    costs = {}
+    for enabled in (True, False):
+        plan = scale_plan(deployment, _SMALL_FLEET, control_enabled=enabled)
+        if enabled:
+            async with start_fleet(plan, configuration) as fleet:
+                costs[enabled] = await measure_rest(fleet.rig)
+        else:
+            async with Rig(plan=plan) as rig:
+                await rig.start()
+                costs[enabled] = await measure_rest(rig)
+    rows = [
+        [
+            "on" if enabled else "off",
+            format_spread(list(cost.rss_mb.values()), digits=1),
+            format_spread(list(cost.cpu_percent.values())),
+        ]
+        for enabled, cost in costs.items()
+    ]
+    return Section(
+        f"Control plane on and off, {_SMALL_FLEET} idle nodes, {_REST_S:g} s",
+        ["control", "RSS MB", "CPU %"],
+        rows,
+        {
+            "control_rss_mb": _median_difference(costs[True].rss_mb, costs[False].rss_mb),
+            "control_cpu_percent": _median_difference(
+                costs[True].cpu_percent, costs[False].cpu_percent
+            ),
+        },
+    )
+
+
+async def measure_mass_restart(fleet: Fleet) -> Section:
+    """Kill a third of the nodes, change the configuration and restart them all at once."""
+    rig = fleet.rig
+    running = [vm for vm in rig.nodes if rig.get_node(vm).running]
+    victims = running[::3]
+    for vm in victims:
+        rig.kill_vm(vm)
+    await fleet.change_without_waiting()
+    before = _sum_counts(await rig.count_platform_calls())
+    at = time.time()
+    seconds = await restart_vms(rig, victims)
+    calls = _sum_counts(await rig.count_platform_calls()) - before
+    joined = await rig.wait_events("joined", set(victims) - list_roots(rig), after=at)
+    times = sorted(event.at for event in joined.values())
+    span = times[-1] - times[0]
+    started = await rig.wait_events("node-started", victims, after=at)
+    last_start = max(event.at for event in started.values()) - at
+    return Section(
+        "A third of the nodes killed and restarted at once",
+        ["nodes", "restarted", "joins/s", "platform calls/s", "all started s", "all current s"],
+        [
+            [
+                len(running),
+                len(victims),
+                f"{len(times) / span:.1f}",
+                f"{calls / seconds:.1f}",
+                f"{last_start:.1f}",
+                f"{seconds:.1f}",
+            ]
+        ],
+    )
+
+
+def median_of(values: Mapping[str, float], vms: set[str]) -> float:
+    """Return the median over some VMs."""
+    return statistics.median(value for vm, value in values.items() if vm in vms)
+
+
+def _median_difference(first: Mapping[str, float], second: Mapping[str, float]) -> float:
+    return statistics.median(first.values()) - statistics.median(second.values())
+
+
+def _sum_counts(counts: dict[str, Any]) -> float:
+    return float(sum(counts["calls"].values()))
+
+
+def _span(before: Usage, after: Usage) -> float:
+    return after.at - before.at
--- /dev/null
+++ b/src/ibiswick/_internal/standins/measure_policy.py
@@ -0,0 +1,98 @@
+"""Measure how calls fare around and above capacity, with a slow and a lying backend server."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+from ..oracle import Call, Outcome
+from .deployments import Deployment
+from .load import CallClass, LoadGenerator, find_percentile
+from .rig import Plan
+from .sections import Section, start_fleet
+
+_SERVERS = 6
+_SERVICE_MS = 50.0
+_RUN_S = 5.0
+_SHARES = (0.5, 0.9, 1.2, 2.0)
+_SLOW = {"slow_factor": 5.0}
+_LYING = {"lie": True, "slow_factor": 3.0, "fail": 0.3}
+
+
+class _Variant(NamedTuple):
+    name: str
+    node_settings: dict[str, object]
+
+
+_VARIANTS = (
+    _Variant("as designed", {}),
+    # Slots far above what the backend server has leave its own queue and shedding in charge.
+    _Variant("no slot ownership", {"slots": 1000}),
+)
+
+
+async def measure_policy(deployment: Deployment, configuration: Path) -> Section:
+    """Compare loads and variants; there is no setting for random choice or unlimited retries."""
+    rows = []
+    verdicts = []
+    for variant in _VARIANTS:
+        async with start_fleet(_build_plan(deployment, variant), configuration) as fleet:
+            slow, lying = list(fleet.rig.nodes)[:2]
+            await fleet.rig.set_backend_faults(slow, _SLOW)
+            await fleet.rig.set_backend_faults(lying, _LYING)
+            for share in _SHARES:
+                calls = await _run_load(fleet.rig.list_targets(), deployment, share)
+                fleet.calls += calls
+                rows.append([variant.name, f"{share:g}x", *_format_calls(calls)])
+            verdicts += await fleet.check()
+    capacity = _compute_capacity_per_s()
+    return Section(
+        f"Calls around capacity ({capacity:.0f}/s without faults), one slow, one lying server",
+        ["variant", "load", "calls", "ok/s", "ok %", "not run %", "other %", "p50 ms", "p99 ms"],
+        rows,
+        {},
+        verdicts,
+    )
+
+
+def _build_plan(deployment: Deployment, variant: _Variant) -> Plan:
+    first, second = deployment.plan.services
+    return deployment.plan._replace(
+        services=(
+            first._replace(backend_servers=_SERVERS, service_ms=(("/", _SERVICE_MS),)),
+            second._replace(backend_servers=1),
+        ),
+        node_settings=tuple(
+            {**dict(deployment.plan.node_settings), **variant.node_settings}.items()
+        ),
+    )
+
+
+def _compute_capacity_per_s() -> float:
+    return _SERVERS * 6 / (_SERVICE_MS / 1000)
+
+
+async def _run_load(targets: list, deployment: Deployment, share: float) -> list[Call]:
+    classes: list[CallClass] = [item for item in deployment.classes if item.name != "upload"]
+    generator = LoadGenerator(
+        targets=targets, classes=classes, seed=1, run_id=f"policy-{share:g}-{id(targets)}"
+    )
+    await generator.run(rate_per_s=share * _compute_capacity_per_s(), duration_s=_RUN_S)
+    generator.close()
+    return generator.calls
+
+
+def _format_calls(calls: list[Call]) -> list[str | int]:
+    total = len(calls)
+    ok = [call for call in calls if call.outcome is Outcome.OK]
+    not_run = sum(call.outcome is Outcome.NOT_RUN for call in calls)
+    times = [(call.finished - call.due) * 1000 for call in ok]
+    return [
+        total,
+        f"{len(ok) / _RUN_S:.0f}",
+        f"{100 * len(ok) / total:.1f}",
+        f"{100 * not_run / total:.1f}",
+        f"{100 * (total - len(ok) - not_run) / total:.1f}",
+        f"{find_percentile(times, 50):.0f}",
+        f"{find_percentile(times, 99):.0f}",
+    ]
--- a/src/ibiswick/_internal/standins/rig.py
+++ b/src/ibiswick/_internal/standins/rig.py
@@ -13,7 +13,7 @@
 import signal
 import tempfile
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
 from types import TracebackType
 from typing import Any, NamedTuple, Self
@@ -181,12 +181,28 @@
     async def control(self, *arguments: str) -> Any:
         """Run `ibiswickctl ... --json` and return the document it prints."""
         environment = {
-            "IBISWICK_ADMIN_URL": f"http://{HOST}:{self.admin_port}",
+            "IBISWICK_URL": f"http://{HOST}:{self.admin_port}",
             "IBISWICK_TOKEN": self._token,
         }
         output = await run_program("ctl", *arguments, "--json", environment=environment)
         return json.loads(output) if output.strip() else None
 
+    async def submit_change(self, change_id: str, workspace: Mapping[str, Any]) -> int:
+        """Accept a workspace's document without waiting for it; return the generation."""
+        response = await self._http.post(
+            f"http://{HOST}:{self.admin_port}/v1/changes",
+            headers={"authorization": f"Bearer {self._token}"},
+            json={"change_id": change_id, "workspaces": {workspace["name"]: workspace}},
+        )
+        response.raise_for_status()
+        return response.json()["generation"]
+
+    async def start_program(self, program: str, *arguments: str) -> Process:
+        """Start another of ibiswick's programs; it ends with the rig."""
+        name = f"{program}-{len(self.processes)}"
+        await self._launch(name, program, arguments)
+        return self.processes[name]
+
     def list_targets(self) -> list[Target]:
         """List the caller ports of the nodes that run."""
         return [
@@ -207,15 +223,23 @@
                 yield from ((vm, event) for event in read_events(path))
 
     async def wait_events(
-        self, name: str, vms: Iterable[str], *, after: float = 0.0, timeout_s: float = _READY_S
+        self,
+        name: str,
+        vms: Iterable[str],
+        *,
+        after: float = 0.0,
+        timeout_s: float = _READY_S,
+        **fields: str,
     ) -> dict[str, Event]:
-        """Wait until each VM has logged an event; return the first of each VM."""
+        """Wait until each VM has logged an event with the given fields; return their first ones."""
         wanted = set(vms)
         deadline = time.monotonic() + timeout_s
         while True:
             found: dict[str, Event] = {}
             for vm, event in self.read_node_events():
-                if vm in wanted and event.name == name and event.at >= after:
+                if vm not in wanted or event.name != name or event.at < after:
+                    continue
+                if fields.items() <= event.fields.items():
                     found.setdefault(vm, event)
             if len(found) == len(wanted):
                 return found
--- /dev/null
+++ b/src/ibiswick/_internal/standins/sections.py
@@ -0,0 +1,120 @@
+"""Define what one measurement returns and the rigs that measurements share."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import statistics
+import uuid
+from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+from ..oracle import Call, Verdict, check_all
+from .convergence import Convergence, list_convergence
+from .deployments import Deployment
+from .documents import EditKind, WorkingCopy
+from .evidence import collect_history
+from .load import find_percentile
+from .rig import Plan, Rig
+
+
+class Section(NamedTuple):
+    """Hold the table, the flat figures and the verdicts of one measurement."""
+
+    title: str
+    headings: Sequence[str]
+    rows: Sequence[Sequence[Any]]
+    figures: Mapping[str, float] = MappingProxyType({})
+    verdicts: Sequence[Verdict] = ()
+
+
+class Fleet:
+    """Keep a running deployment with its configuration applied."""
+
+    def __init__(self, *, rig: Rig, configuration: Path) -> None:
+        self.rig = rig
+        self.calls: list[Call] = []
+        self._copy = WorkingCopy(source=configuration, directory=rig.directory / "configuration")
+
+    async def apply(self) -> None:
+        """Apply the working copy; return when it is in effect."""
+        await self.rig.control("apply", str(self._copy.directory))
+
+    async def change(self, kind: EditKind) -> None:
+        """Make and apply one change."""
+        self._copy.edit(kind)
+        await self.apply()
+
+    async def change_without_waiting(self) -> int:
+        """Change a parameter and return the generation once it is accepted."""
+        self._copy.edit("parameter")
+        workspace = self._copy.read_workspace()
+        return await self.rig.submit_change(uuid.uuid4().hex, workspace)
+
+    async def list_convergence(self, *, skip: int = 0) -> list[Convergence]:
+        """List how long the changes took, without the first ones."""
+        history = await collect_history(self.rig, self.calls)
+        return list_convergence(history, self.rig.plan.workspace)[skip:]
+
+    async def check(self) -> list[Verdict]:
+        """Check the promises on everything that happened up to now."""
+        return check_all(await collect_history(self.rig, self.calls))
+
+
+def scale_plan(deployment: Deployment, nodes: int, **settings: Any) -> Plan:
+    """Return a plan with a number of nodes that share backend servers."""
+    first, second = deployment.plan.services
+    return deployment.plan._replace(
+        services=(
+            first._replace(backend_servers=nodes - second.backend_servers),
+            second,
+        ),
+        node_settings=tuple({**dict(deployment.plan.node_settings), **settings}.items()),
+        shared_backends=True,
+    )
+
+
+@contextlib.asynccontextmanager
+async def start_fleet(plan: Plan, configuration: Path) -> AsyncIterator[Fleet]:
+    """Start a deployment, apply its configuration and wait until every node serves it."""
+    async with Rig(plan=plan) as rig:
+        await rig.start()
+        fleet = Fleet(rig=rig, configuration=configuration)
+        await fleet.apply()
+        await rig.wait_events("snapshot-applied", rig.nodes, timeout_s=60.0)
+        yield fleet
+
+
+async def sum_metric(rig: Rig, prefix: str) -> dict[str, float]:
+    """Return for each running node the sum of the metrics whose names start with a prefix."""
+
+    async def read(vm: str) -> tuple[str, float]:
+        metrics = await rig.read_metrics(vm)
+        return vm, sum(value for name, value in metrics.items() if name.startswith(prefix))
+
+    running = [vm for vm in rig.nodes if rig.get_node(vm).running]
+    return dict(await asyncio.gather(*(read(vm) for vm in running)))
+
+
+def join_delays(changes: Iterable[Convergence]) -> list[float]:
+    """Return every delay of several changes in ms."""
+    return [delay * 1000 for change in changes for delay in change.delays]
+
+
+def format_spread(values: Sequence[float], *, digits: int = 2) -> str:
+    """Show the median with the smallest and the largest value.
+
+    >>> format_spread([3.0, 1.0, 2.0])
+    '2.00 (1.00-3.00)'
+    """
+    if not values:
+        return "-"
+    middle = statistics.median(values)
+    return f"{middle:.{digits}f} ({min(values):.{digits}f}-{max(values):.{digits}f})"
+
+
+def list_percentiles(values: Sequence[float]) -> tuple[float, float]:
+    """Return the 50th and the 99th percentile."""
+    return find_percentile(values, 50), find_percentile(values, 99)
