--- a/src/ibiswick/_internal/commands/load_measure.py
+++ b/src/ibiswick/_internal/commands/load_measure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from pathlib import Path
 
@@ -18,6 +19,10 @@
 ) -> None:
     """Run the measurements, print tables and write the figures as one flat JSON object."""
     try:
-        uvloop.run(run_measures(output, deployments, only=only))
+        figures = uvloop.run(run_measures(deployments, only=only))
     except KeyboardInterrupt:
         sys.exit(130)
+    text = json.dumps(figures, indent=2) + "\n"
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.write_text(text)
+    sys.stdout.write(text)
--- a/src/ibiswick/_internal/standins/measures.py
+++ b/src/ibiswick/_internal/standins/measures.py
@@ -1,9 +1,8 @@
-"""Run the measurements and write their figures."""
+"""Run the measurements and collect their figures."""
 
 from __future__ import annotations
 
 import itertools
-import json
 import math
 import sys
 import time
@@ -53,8 +52,8 @@
 Measurement = Callable[[Deployment, Path], Awaitable[list[Section]]]
 
 
-async def run_measures(output: Path, deployments: Path, *, only: list[str] | None) -> None:
-    """Run the measurements, print each table as it is ready and write the figures."""
+async def run_measures(deployments: Path, *, only: list[str] | None) -> dict[str, float | None]:
+    """Run the measurements, print each table as it is ready and return the figures."""
     cancel_on_signals()
     deployment = DEPLOYMENTS["yorgan"]
     sections = []
@@ -67,10 +66,7 @@
             _show(section)
         sys.stdout.write(f"({name}: {time.monotonic() - started:.0f} s)\n\n")
         sys.stdout.flush()
-    figures = collect_figures(sections)
-    output.parent.mkdir(parents=True, exist_ok=True)
-    output.write_text(json.dumps(figures, indent=2) + "\n")
-    sys.stdout.write(f"{json.dumps(figures, indent=2)}\n")
+    return collect_figures(sections)
 
 
 def collect_figures(sections: Iterable[Section]) -> dict[str, float | None]:
