Render metrics for a scraper that sends no Accept header

aioprometheus raises on None instead of a sequence, so the operations port closed the connection without a response. Result: tests/test_shared.py passes; it failed before.

--- a/src/ibiswick/_internal/metrics.py
+++ b/src/ibiswick/_internal/metrics.py
@@ -26,4 +26,4 @@
     """Return the body and the headers of a scrape."""
     from aioprometheus.renderer import render
 
-    return render(REGISTRY, [accept] if accept else None)
+    return render(REGISTRY, [accept or "text/plain"])
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -7,6 +7,7 @@
 
 from ibiswick._internal.blackboard import Cell
 from ibiswick._internal.errors import SettingsError
+from ibiswick._internal.metrics import render_metrics
 from ibiswick._internal.settings import Address, NodeSettings, load_settings, parse_settings
 
 NODE = b"""{"vm": "vm-1", "workspace": "w", "service": "s", "region": "r",
@@ -45,3 +46,10 @@
     await asyncio.sleep(0)
     cell.set(5)
     assert await asyncio.gather(*waiters) == [5, 5, 5]
+
+
+def test_metrics_are_rendered_for_a_scraper_without_accept_header() -> None:
+    """Guard against a crash of the operations port when the header is missing."""
+    body, headers = render_metrics()
+    assert isinstance(body, bytes)
+    assert headers["Content-Type"].startswith("text/plain")
