--- a/src/ibiswick/_internal/standins/measure_convergence.py
+++ b/src/ibiswick/_internal/standins/measure_convergence.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Sequence
 from pathlib import Path
 
+from ..oracle import Outage
 from .convergence import Convergence
 from .deployments import Deployment
 from .documents import EditKind
@@ -72,6 +74,7 @@
     at = time.time()
     await rig.control("drain", leaving)
     announced = (await rig.wait_events("leaving-announced", [leaving], after=at))[leaving].at
+    rig.outages.append(Outage(leaving, announced, math.inf))
     left = await _list_endpoint_delays(rig, {leaving}, announced)
     at = time.time()
     rig.kill_vm(killed)
