--- a/src/ibiswick/_internal/logs.py
+++ b/src/ibiswick/_internal/logs.py
@@ -45,7 +45,7 @@
 
     def warn(self, event: str, **fields: Any) -> None:
         """Log an event that an operator may have to look at."""
-        self._logger.warn(format_pairs(event, **fields))
+        self._logger.warning(format_pairs(event, **fields))
 
     def error(self, event: str, **fields: Any) -> None:
         """Log a fault."""
