Use the platform client's fetch interface in the pool

The platform client sends the path of its base URL and the host itself; the pool repeated both, so requests had two hosts.

--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import itertools
+import os
 import random
-import secrets
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -151,7 +151,7 @@
         self._table = RouteTable(())
         self._services: dict[str, ServiceState] = {}
         # Ids must differ from those of other nodes and of earlier processes on this VM.
-        self._id_prefix = secrets.token_hex(6).encode()
+        self._id_prefix = os.urandom(6).hex().encode()
         self._ids = itertools.count(1)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
--- a/src/ibiswick/_internal/pool.py
+++ b/src/ibiswick/_internal/pool.py
@@ -12,13 +12,14 @@
 import ssl
 import time
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, NamedTuple, Protocol
 from urllib.parse import urlsplit
 
 import httptools
 
 from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from .platform import FetchResponse
 
 CONNECT_TIMEOUT_S = 0.3
 DEFAULT_CONNECTIONS = 128
@@ -728,30 +729,23 @@
     return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
 
 
-class FetchResponse(NamedTuple):
-    """Hold the complete response to one request."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class PoolFetch:
-    """Send requests of a client to one server, such as the platform."""
+    """Send requests of a client to the origin of a URL, such as that of the platform."""
 
     def __init__(self, *, pool: Pool, base_url: str) -> None:
         parts = urlsplit(base_url)
         port = parts.port or (443 if parts.scheme == "https" else 80)
         self._pool = pool
         self._remote = Remote(parts.hostname or "", port)
-        self._prefix = parts.path.rstrip("/")
         self._host = parts.netloc.rpartition("@")[2]
 
     async def __call__(
-        self, method: str, target: str, headers: dict[str, str], body: bytes, timeout_s: float
+        self, method: str, target: str, headers: Mapping[str, str], body: bytes, timeout_s: float
     ) -> FetchResponse:
         """Return the complete response; raise NotSentError, ResponseLostError or its subclass."""
-        lines = [f"{method} {self._prefix}{target} HTTP/1.1", f"host: {self._host}"]
+        lines = [f"{method} {target} HTTP/1.1"]
+        if "host" not in headers:
+            lines.append(f"host: {self._host}")
         lines += [f"{name}: {value}" for name, value in headers.items()]
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"content-length: {len(body)}")
