Adapt attempts to slow services and let callers leave in the simulation

A fixed share of the deadline for each attempt would cut every attempt at a service that needs more than its share, so an attempt now has at least four times the typical latency. Responses 500, 502, 503 and 504 count against an endpoint; abandoned attempts count for its latency. A call that leaves the slot queue as its timer fires early could be granted a slot that nobody uses; expiry and withdrawal are now one step, and the simulation checks that no slot stays in use.

--- a/src/ibiswick/_internal/balance.py
+++ b/src/ibiswick/_internal/balance.py
@@ -12,6 +12,8 @@
 LOAD_FRESH_S = 1.0
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY_S = 0.005
+# The typical latency of a service changes more slowly than that of one endpoint.
+TYPICAL_LATENCY_WEIGHT = 0.05
 # Differences below this come from the measurement, not from the backend server.
 LATENCY_FLOOR_S = 0.001
 SLOW_START_MIN_WEIGHT = 0.1
@@ -75,6 +77,7 @@
         self._slots_limit = 1
         self._slow_start_s = 0.0
         self._local_first = True
+        self.typical_latency_s = INITIAL_LATENCY_S
 
     @property
     def states(self) -> tuple[EndpointState, ...]:
@@ -176,10 +179,19 @@
 
     def note_success(self, state: EndpointState, *, latency_s: float) -> None:
         """Note an answer of the backend server."""
-        state.latency_s += LATENCY_WEIGHT * (latency_s - state.latency_s)
+        self._note_latency(state, latency_s)
         state.failures = 0
         state.ejections = 0
 
+    def note_abandoned(self, state: EndpointState, *, latency_s: float) -> None:
+        """Note an attempt that was given up; it would have taken at least that long."""
+        if latency_s > state.latency_s:
+            self._note_latency(state, latency_s)
+
+    def _note_latency(self, state: EndpointState, latency_s: float) -> None:
+        state.latency_s += LATENCY_WEIGHT * (latency_s - state.latency_s)
+        self.typical_latency_s += TYPICAL_LATENCY_WEIGHT * (latency_s - self.typical_latency_s)
+
     def note_failure(self, state: EndpointState, *, now: float, reason: str) -> HealthChange | None:
         """Note a failed attempt; eject the endpoint after several in a row."""
         state.failures += 1
--- a/src/ibiswick/_internal/heads.py
+++ b/src/ibiswick/_internal/heads.py
@@ -209,3 +209,15 @@
     if head.length is not None:
         return b"content-length: %d\r\n" % head.length
     return b""
+
+
+def find_retry_after(headers: Headers) -> float:
+    """Return the seconds in a `Retry-After` header, or one.
+
+    >>> find_retry_after([(b"retry-after", b"3")]), find_retry_after([])
+    (3.0, 1.0)
+    """
+    for name, value in headers:
+        if name == b"retry-after" and value.isdigit():
+            return float(value[:6])
+    return 1.0
--- a/src/ibiswick/_internal/inbound.py
+++ b/src/ibiswick/_internal/inbound.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -186,7 +187,7 @@
         loop = asyncio.get_running_loop()
         granted = loop.create_future()
         self._waiting[queued.ticket] = granted
-        timer = loop.call_later(queued.until - now, _resolve, granted)
+        timer = loop.call_later(queued.until - now, self._expire, queued.ticket)
         try:
             await granted
         except asyncio.CancelledError:
@@ -195,7 +196,7 @@
         finally:
             timer.cancel()
             self._waiting.pop(queued.ticket, None)
-        if self._queue.withdraw(queued.ticket) or not granted.result():
+        if not granted.result():
             return Refused("queue-time", self._queue.estimate_wait())
         return None
 
@@ -207,10 +208,22 @@
         if waiting is not None and waiting.done() and not waiting.cancelled() and waiting.result():
             self._grant(self._queue.release(now=self._clock()))
 
+    def _expire(self, ticket: int) -> None:
+        """End the wait of a call that got no slot in time."""
+        waiting = self._waiting.get(ticket)
+        if waiting is not None and not waiting.done():
+            self._queue.withdraw(ticket)
+            waiting.set_result(False)
+
     def _grant(self, tickets: list[int]) -> None:
-        for ticket in tickets:
-            waiting = self._waiting[ticket]
-            waiting.set_result(True)
+        pending = deque(tickets)
+        while pending:
+            waiting = self._waiting.get(pending.popleft())
+            if waiting is None or waiting.done():
+                # The call was cancelled and has not left the queue yet.
+                pending.extend(self._queue.release(now=self._clock()))
+            else:
+                waiting.set_result(True)
 
     # Forwarding
 
@@ -300,9 +313,3 @@
         if body.whole:
             return Request(b"".join(lines), body.start, is_head=is_head)
         return Request(b"".join(lines), stream=body.stream(), chunked=head.chunked, is_head=is_head)
-
-
-def _resolve(granted: asyncio.Future[bool]) -> None:
-    """End the wait of a call that got no slot in time."""
-    if not granted.done():
-        granted.set_result(False)
--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -32,6 +32,7 @@
     WORKSPACE,
     RequestHead,
     ResponseHead,
+    find_retry_after,
     normalize_host,
     read_request_head,
     read_response_head,
@@ -57,6 +58,9 @@
 # must not run twice could not be sent again.
 ALIVE_WITHIN_S = 1.0
 RETRY_AFTER_UNREADY_S = 1.0
+# Responses of a backend server that count against it when endpoints are chosen. The response itself
+# still goes to the caller, because the call may have run.
+FAILURE_STATUSES = frozenset((500, 502, 503, 504))
 RETRY_AFTER_DRAINING_S = 1.0
 
 _log = EventLog(component="outbound")
@@ -70,6 +74,7 @@
     response: ExchangeResponse | None = None
     head: ResponseHead | None = None
     is_busy: bool = False
+    retry_after_s: float = RETRY_AFTER_UNREADY_S
 
 
 class Call:
@@ -302,6 +307,7 @@
             attempts=call.attempts,
             allowed=call.allowed,
             remaining_s=self._upload_idle_s if call.deadline is None else call.deadline - now,
+            elsewhere=len(call.tried) < len(service.balancer.states),
             budget=service.budget,
             now=now,
             rng=self._rng,
@@ -345,6 +351,9 @@
         state.in_flight += 1
         try:
             attempt = await self._send(call, service, state, now)
+        except asyncio.CancelledError:
+            balancer.note_abandoned(state, latency_s=self._clock() - now)
+            raise
         finally:
             state.in_flight -= 1
         self._counts.add("ibiswick_attempts_total", "outcome", attempt.outcome)
@@ -369,6 +378,7 @@
                 deadline=deadline,
                 idempotent=idempotent,
                 attempts_left=call.allowed - call.attempts + 1,
+                typical_s=service.balancer.typical_latency_s,
             )
         limits = Limits(
             deadline,
@@ -406,7 +416,8 @@
             detail = str(error)
         if head.outcome == OUTCOME_NOT_RUN:
             is_busy = head.load is not None and head.load.in_flight >= head.load.slots
-            return Attempt(Outcome.NOT_RUN, detail, None, head, is_busy)
+            retry_after_s = find_retry_after(head.headers)
+            return Attempt(Outcome.NOT_RUN, detail, None, head, is_busy, retry_after_s)
         if response.status == 504:
             return Attempt(Outcome.TIMEOUT, detail, None, head)
         return Attempt(Outcome.LOST, detail, None, head)
@@ -454,13 +465,17 @@
         load = attempt.head.load if attempt.head is not None else None
         if load is not None:
             balancer.note_load(state, load.in_flight + load.queued, now=now)
-        if attempt.outcome is Outcome.RESPONSE:
+        status = attempt.response.status if attempt.response is not None else 0
+        if attempt.outcome is Outcome.RESPONSE and status not in FAILURE_STATUSES:
             balancer.note_success(state, latency_s=now - started)
             return
+        if attempt.outcome is Outcome.TIMEOUT:
+            balancer.note_abandoned(state, latency_s=now - started)
         if attempt.is_busy:
             # The backend server is busy, not broken.
             return
-        change = balancer.note_failure(state, now=now, reason=attempt.outcome.value)
+        reason = f"status-{status}" if status else attempt.outcome.value
+        change = balancer.note_failure(state, now=now, reason=reason)
         if change is not None:
             self._log_health(change)
 
@@ -487,7 +502,7 @@
         """
         if call.maybe_ran:
             return build_unknown(attempt.detail, timed_out=call.timed_out)
-        return build_not_run(attempt.detail, retry_after_s=RETRY_AFTER_UNREADY_S)
+        return build_not_run(attempt.detail, retry_after_s=attempt.retry_after_s)
 
 
 async def _take_first(tasks: set[asyncio.Task[Attempt]]) -> Attempt:
--- a/src/ibiswick/_internal/pool.py
+++ b/src/ibiswick/_internal/pool.py
@@ -152,14 +152,12 @@
             await self._wait()
 
     async def _wait(self) -> None:
-        self._waiter = self._connection.loop.create_future()
+        self._waiter = waiter = self._connection.loop.create_future()
         try:
-            await self._waiter
+            await waiter
         except asyncio.CancelledError:
             self.close()
             raise
-        finally:
-            self._waiter = None
 
     def take(self) -> bytes:
         """Return what has arrived of the body, without waiting."""
--- a/src/ibiswick/_internal/retries.py
+++ b/src/ibiswick/_internal/retries.py
@@ -18,6 +18,8 @@
 # in time and the connection between the nodes survives.
 DEADLINE_MARGIN_S = 0.005
 MIN_ATTEMPT_S = 0.001
+# An attempt is not given up before this many times the typical latency of its service.
+PATIENCE = 4.0
 
 
 class Outcome(StrEnum):
@@ -81,11 +83,15 @@
     attempts: int,
     allowed: int,
     remaining_s: float,
+    elsewhere: bool,
     budget: RetryBudget,
     now: float,
     rng: random.Random,
 ) -> RetryDecision:
-    """Decide what follows an attempt; `attempts` counts those made so far."""
+    """Decide what follows an attempt.
+
+    `attempts` counts those made so far; `elsewhere` tells that an endpoint is left to try.
+    """
     if outcome is Outcome.RESPONSE:
         return RetryDecision(False, 0.0, "answered")
     if outcome is not Outcome.NOT_RUN and not idempotent:
@@ -94,7 +100,8 @@
         return RetryDecision(False, 0.0, "body-streamed")
     if attempts >= allowed:
         return RetryDecision(False, 0.0, "attempts-exhausted")
-    delay_s = compute_backoff(outcome, attempts=attempts, rng=rng)
+    is_moved = elsewhere and outcome is Outcome.NOT_RUN and attempts == 1
+    delay_s = 0.0 if is_moved else compute_backoff(attempts=attempts, rng=rng)
     if remaining_s - delay_s <= MIN_ATTEMPT_S:
         return RetryDecision(False, 0.0, "deadline")
     if not budget.take(now=now):
@@ -102,13 +109,8 @@
     return RetryDecision(True, delay_s, outcome.value)
 
 
-def compute_backoff(outcome: Outcome, *, attempts: int, rng: random.Random) -> float:
-    """Return the seconds to wait, with full jitter.
-
-    The first repetition of a call that did not run goes to another endpoint, so it need not wait.
-    """
-    if outcome is Outcome.NOT_RUN and attempts == 1:
-        return 0.0
+def compute_backoff(*, attempts: int, rng: random.Random) -> float:
+    """Return the seconds to wait, with full jitter."""
     return rng.uniform(0.0, min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2**attempts))
 
 
@@ -125,12 +127,17 @@
 
 
 def compute_attempt_deadline(
-    *, now: float, deadline: float, idempotent: bool, attempts_left: int
+    *, now: float, deadline: float, idempotent: bool, attempts_left: int, typical_s: float
 ) -> float:
-    """Return the deadline of the next attempt; only idempotent calls leave time for others."""
+    """Return the deadline of the next attempt; only idempotent calls leave time for others.
+
+    The time left is divided among the attempts, unless the service is known to take longer: then
+    giving up early would only repeat the work.
+    """
     if not idempotent or attempts_left <= 1:
         return deadline
-    return now + (deadline - now) / attempts_left
+    share_s = (deadline - now) / attempts_left
+    return min(deadline, now + max(share_s, PATIENCE * typical_s))
 
 
 def shrink_deadline_ms(*, now: float, deadline: float) -> int:
--- a/src/ibiswick/_internal/serving.py
+++ b/src/ibiswick/_internal/serving.py
@@ -107,6 +107,9 @@
         more = message.get("more_body", False)
         start, self.start = self.start, None
         if start is not None:
+            if self.waiting_for_100_continue:
+                # The caller may leave out the body now, and the next bytes could be misread.
+                self.keep_alive = False
             head = self._build_head(start, body, more)
             self.response_started = True
             self.waiting_for_100_continue = False
--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -205,10 +205,12 @@
 ) -> Client:
     """Send the parts of a request over a new connection and wait for the end."""
     _, client = await loop.create_connection(lambda: Client(loop), "127.0.0.1", port, ssl=tls)
-    for part in parts:
-        client.transport.write(part)
-        if pause_s:
-            await asyncio.sleep(pause_s)
-    await client.done
-    client.transport.close()
+    try:
+        for part in parts:
+            client.transport.write(part)
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        await client.done
+    finally:
+        client.transport.close()
     return client
--- a/tests/test_call_decisions.py
+++ b/tests/test_call_decisions.py
@@ -18,6 +18,7 @@
     BUDGET_MINIMUM,
     Outcome,
     RetryBudget,
+    compute_attempt_deadline,
     count_attempts,
     decide_hedge,
     decide_retry,
@@ -149,6 +150,7 @@
         attempts=attempts,
         allowed=count_attempts(5),
         remaining_s=1.0,
+        elsewhere=True,
         budget=RetryBudget(now=0.0),
         now=0.0,
         rng=random.Random(1),
@@ -191,6 +193,15 @@
     assert passed_ms < remaining_s * 1000 or passed_ms == 1
 
 
+def test_attempts_share_the_deadline_unless_the_service_is_slow() -> None:
+    """Guard against cutting each attempt at a service that needs more than its share of time."""
+    options = {"now": 0.0, "deadline": 0.9, "attempts_left": 3}
+    share = compute_attempt_deadline(**options, idempotent=True, typical_s=0.01)
+    assert share == pytest.approx(0.3)
+    assert compute_attempt_deadline(**options, idempotent=True, typical_s=0.4) == 0.9
+    assert compute_attempt_deadline(**options, idempotent=False, typical_s=0.01) == 0.9
+
+
 def test_only_idempotent_calls_are_hedged() -> None:
     """Guard against a hedge that runs a deposit twice."""
     assert decide_hedge(idempotent=True, replayable=True, hedge_ms=50) == 0.05
--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -43,12 +43,13 @@
 
 
 class Plan(NamedTuple):
-    """Describe one call: when it starts, where, and what its executions meet."""
+    """Describe one call: its start, its node, what its executions meet, when its caller leaves."""
 
     start_ms: int
     node: int
     kind: str
     behaviours: tuple[str, ...]
+    leaves_ms: int | None = None
 
 
 class Fault(NamedTuple):
@@ -138,6 +139,7 @@
         self.nodes: list[DataPlane] = []
         self.backend_ports: list[int] = []
         self._plans = plans
+        self.callers: dict[int, asyncio.Task[Client]] = {}
 
     async def start(self) -> None:
         """Start every node and tell each about all."""
@@ -190,13 +192,30 @@
         path = f"/{plan.kind}/{number}".encode()
         head = b" " + path + b" HTTP/1.1\r\nhost: shop\r\n"
         port = self.nodes[plan.node].caller_port
+        if plan.leaves_ms is not None:
+            self.loop.call_later(plan.leaves_ms / 1000, self._leave, number)
         if plan.kind == "upload":
             parts = [b"POST" + head + b"content-length: 300000\r\n\r\n", *([b"x" * 100_000] * 3)]
-            return await request(self.loop, port, *parts, pause_s=0.02)
+            return await self._request(number, port, *parts, pause_s=0.02)
         if plan.kind == "deposit":
             body = b"content-length: 4\r\n\r\nbody"
-            return await request(self.loop, port, b"POST" + head + body)
-        return await request(self.loop, port, b"GET" + head + b"\r\n")
+            return await self._request(number, port, b"POST" + head + body)
+        return await self._request(number, port, b"GET" + head + b"\r\n")
+
+    async def _request(self, number: int, port: int, *parts: bytes, pause_s: float = 0.0) -> Client:
+        task = asyncio.create_task(request(self.loop, port, *parts, pause_s=pause_s))
+        self.callers[number] = task
+        return await task
+
+    def _leave(self, number: int) -> None:
+        """Let a caller give up, which closes its connection."""
+        self.callers[number].cancel()
+
+    def check_idle(self) -> None:
+        """Check that no call has kept a slot or its place in the queue."""
+        for node, board in zip(self.nodes, self.boards, strict=True):
+            queue = node._inbound.queue
+            assert (board.in_flight.value, queue.busy, queue.queued) == (0, 0, 0)
 
     async def strike(self, fault: Fault) -> None:
         """Cause one fault."""
@@ -242,8 +261,10 @@
         for strike in strikes:
             await strike
         for result in results:
-            if isinstance(result, BaseException) and not isinstance(result, OSError):
+            expected = (Client, OSError, asyncio.CancelledError)
+            if not isinstance(result, expected):
                 raise result
+        mesh.check_idle()
         return [r if isinstance(r, Client) else None for r in results], mesh.ledger
 
     return run_virtual(main)
@@ -275,6 +296,7 @@
         st.integers(0, NODES - 1),
         st.sampled_from(("status", "hedged", "deposit", "upload")),
         st.lists(st.sampled_from(BEHAVIOURS), min_size=1, max_size=3).map(tuple),
+        st.one_of(st.none(), st.none(), st.integers(1, 120)),
     ),
     min_size=1,
     max_size=14,
@@ -358,6 +380,7 @@
         st.integers(0, NODES - 1),
         st.sampled_from(("status", "deposit", "upload")),
         st.sampled_from((("answer",), ("slow",))),
+        st.none(),
     ),
     min_size=1,
     max_size=8,
