Settle lost answers by the walk that follows every lost race

What remains is to report an unknown outcome when that walk fails. The fake can now aim its faults at the head or at the marks.

--- a/src/ibiswick/_internal/changes.py
+++ b/src/ibiswick/_internal/changes.py
@@ -64,7 +64,11 @@
 
 
 class ChangeResult(NamedTuple):
-    """Hold the outcome of a change; a dry run states the generation that it was checked against."""
+    """Hold the outcome of a change.
+
+    A dry run states the generation that it was checked against. A change that is found in the
+    history, because it was submitted before or its answer was lost, comes without differences.
+    """
 
     change_id: str
     generation: int
@@ -112,6 +116,13 @@
             self.outcome.exception()
 
 
+class _Conflict(NamedTuple):
+    """Hold the version of the head that an update met instead of the expected one."""
+
+    version: int
+    may_be_accepted: bool
+
+
 class _Group(NamedTuple):
     """Hold what one update of the head would accept, and the changes that it would refuse."""
 
@@ -273,11 +284,11 @@
                 return
             group = await self._plan_group(state, remaining)
             await self._blobs.write_all(group.blobs)
-            newest = await self._swap_head(state, group)
-            if newest is None:
+            conflict = await self._swap_head(state, group)
+            if conflict is None:
                 self._resolve(group)
                 return
-            state, remaining = await self._rebase(state, newest, remaining)
+            state, remaining = await self._rebase(state, conflict, remaining)
             await self._back_off(race)
         raise PlatformUnavailableError(f"lost {MAX_RACES} races against other acceptors")
 
@@ -424,49 +435,45 @@
             previous=previous,
         )
 
-    async def _swap_head(self, state: _State, group: _Group) -> int | None:
-        """Update the head; return None on success or the version that was there instead.
+    async def _swap_head(self, state: _State, group: _Group) -> _Conflict | None:
+        """Update the head; return None on success.
 
         An update whose answer was lost is tried again with the same condition: at most one of the
-        attempts can take effect, and a conflict then tells that the head has moved on.
+        attempts can take effect. A conflict then tells that the head has moved on, by one of them
+        or by another acceptor.
         """
         if group.head is None:
             return None
-        unknown = False
+        may_be_accepted = False
         for attempt in range(SETTLE_ATTEMPTS):
             try:
                 await self._platform.put(HEAD_KEY, group.head, expected=state.version)
                 return None
             except ConflictError as error:
-                if not unknown:
-                    return error.current
-                return await self._settle(state, group, error.current)
+                return _Conflict(error.current, may_be_accepted)
             except OutcomeUnknownError:
-                unknown = True
+                may_be_accepted = True
             except PlatformUnavailableError:
-                if not unknown:
+                if not may_be_accepted:
                     raise
             await self._back_off(attempt)
         raise OutcomeUnknownError("the platform did not tell whether the change was accepted")
 
-    async def _settle(self, state: _State, group: _Group, version: int) -> int | None:
-        """Find out whether a conflict is with an earlier attempt of this very update."""
-        assert group.head is not None
-        try:
-            newest = await self._read_state(at_least=version)
-            async for record in self._walk(newest.record, above=state.generation):
-                if compute_digest(record) == group.head["change"]:
-                    return None
-        except PlatformUnavailableError as error:
-            raise OutcomeUnknownError(error.detail) from error
-        return version
-
     async def _rebase(
-        self, state: _State, version: int, batch: list[_Pending]
+        self, state: _State, conflict: _Conflict, batch: list[_Pending]
     ) -> tuple[_State, list[_Pending]]:
-        """Return the newest state and the changes that another acceptor has not accepted."""
-        newest = await self._read_state(at_least=version)
-        remaining = await self._resolve_accepted(batch, newest.record, above=state.generation)
+        """Return the newest state and the changes that are not in the chain below it.
+
+        The chain tells whether an update whose answer was lost took effect, and which changes
+        another acceptor has accepted meanwhile.
+        """
+        try:
+            newest = await self._read_state(at_least=conflict.version)
+            remaining = await self._resolve_accepted(batch, newest.record, above=state.generation)
+        except PlatformUnavailableError as error:
+            if conflict.may_be_accepted:
+                raise OutcomeUnknownError(error.detail) from error
+            raise
         return newest, remaining
 
     async def _resolve_accepted(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -41,6 +41,7 @@
     * `lose_answers`: so many of the next writes take effect and raise OutcomeUnknownError.
     * `lose_requests`: so many of the next writes have no effect and raise OutcomeUnknownError.
     * `stale_reads`: so many of the next `get` calls return the object before its last write.
+    * `fault_prefix`: the counted faults above concern only keys under this prefix.
     * `cut_watches()`: pending watches raise PlatformUnavailableError.
     * `slow_s`: every call sleeps so long first (on the event loop's clock).
 
@@ -55,6 +56,7 @@
         self.lose_answers = 0
         self.lose_requests = 0
         self.stale_reads = 0
+        self.fault_prefix = ""
         self.slow_s = 0.0
         self.yields = 1
         self.calls: collections.Counter[str] = collections.Counter()
@@ -67,8 +69,7 @@
         """Return one object, or the one before its last write."""
         await self._enter("get", key)
         found = self.store.get(key)
-        if self.stale_reads and key in self._previous:
-            self.stale_reads -= 1
+        if key in self._previous and self._use_fault("stale_reads", key):
             found = self._previous[key]
         await self._yield()
         return found
@@ -130,24 +131,28 @@
         if self.slow_s:
             await asyncio.sleep(self.slow_s)
         await self._yield()
-        if self.reject_calls:
-            self.reject_calls -= 1
+        if self._use_fault("reject_calls", key):
             raise PlatformUnavailableError("rejected")
         if self.down:
             raise PlatformUnavailableError("the platform is down")
 
+    def _use_fault(self, name: str, key: str) -> bool:
+        left: int = getattr(self, name)
+        if not left or not key.startswith(self.fault_prefix):
+            return False
+        setattr(self, name, left - 1)
+        return True
+
     async def _yield(self) -> None:
         for _ in range(self.yields):
             await asyncio.sleep(0)
 
     def _lose_request(self, key: str) -> None:
-        if self.lose_requests:
-            self.lose_requests -= 1
+        if self._use_fault("lose_requests", key):
             raise OutcomeUnknownError(f"the request for {key} was lost")
 
     def _finish_write(self, key: str, before: StoredObject | None) -> None:
         self._previous[key] = before
         self._notify()
-        if self.lose_answers:
-            self.lose_answers -= 1
+        if self._use_fault("lose_answers", key):
             raise OutcomeUnknownError(f"the answer for {key} was lost")
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -168,10 +168,12 @@
         "lose_requests": st.integers(0, 4),
         "reject_calls": st.integers(0, 5),
         "stale_reads": st.integers(0, 3),
+        "fault_prefix": st.sampled_from(["", "live/", "live/", "changes/"]),
         "yields": st.integers(0, 4),
         "down": st.booleans(),
     },
 )
+FAULT_NAMES = ("lose_answers", "lose_requests", "reject_calls", "stale_reads", "down")
 WAVES = st.lists(
     st.tuples(st.lists(ATTEMPTS, min_size=1, max_size=6), st.lists(FAULTS, min_size=3, max_size=3)),
     min_size=1,
@@ -206,7 +208,7 @@
         answers += zip(attempts, requests, results, strict=True)
         healthy = FakePlatform()
         for platform in platforms:
-            for name in ("lose_answers", "lose_requests", "reject_calls", "stale_reads", "down"):
+            for name in FAULT_NAMES:
                 setattr(platform, name, getattr(healthy, name))
     accepted = await check_history(store)
     check_answers(answers, accepted)
@@ -250,13 +252,8 @@
     platform = FakePlatform()
     acceptor = build_acceptor(platform)
     await acceptor.submit(ChangeRequest("c1", "a", workspaces={"w": build_workspace(1)}))
-    original = platform.put
-
-    async def lose_head(key: str, value: Any, *, expected: int | None = None) -> int:
-        platform.lose_answers = int(key == "live/head")
-        return await original(key, value, expected=expected)
-
-    platform.put = lose_head  # type: ignore[method-assign]
+    platform.fault_prefix = "live/"
+    platform.lose_answers = 1
     result = await acceptor.submit(ChangeRequest("c2", "a", workspaces={"w": build_workspace(2)}))
     assert result.generation == 2
     assert await check_history(platform.store) == {"c1": 1, "c2": 2}
