Weigh the ways of the administration package and close gaps in its tests

TLS of the API is tested with certificates made for the test, and a property test compares the audit trail with the history under platform faults.

--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -6,6 +6,8 @@
 
 import httpx
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from builders import build_member, build_policy, build_route
 from fakes import FakePlatform
@@ -88,6 +90,22 @@
     assert (await bench.call("GET", "/v1/status?generation=1")).json()["complete"]
 
 
+async def test_an_attempt_is_on_record_before_the_head_changes(bench):
+    """Guards against an accepted change without an audit entry when the instance dies."""
+    await bench.call("POST", "/v1/changes", build_change(ege=build_workspace()))
+    written = [key for method, key in bench.platform.log if method == "put"]
+    audits = [index for index, key in enumerate(written) if key.startswith("audit/")]
+    assert audits[0] < written.index("live/head") < audits[1]
+
+
+async def test_a_change_must_say_what_it_is_based_on(bench):
+    """Guards against a document replaced unseen because the request named no digest."""
+    body = {**build_change(ege=build_workspace()), "base": {}}
+    answer = await bench.call("POST", "/v1/changes", body)
+    assert answer.status_code == 400
+    assert answer.json()["problems"][0]["path"] == "$.base.workspace/ege"
+
+
 async def test_a_dry_run_writes_nothing(bench):
     """Guards against a dry run with effects."""
     await bench.call("GET", "/v1/templates")
@@ -235,8 +253,12 @@
     ]
     listed = (await bench.call("GET", "/v1/workspaces", token="narrow")).json()["items"]
     assert [item["name"] for item in listed] == ["ege"]
-    status = (await bench.call("GET", "/v1/status", token="narrow")).json()
-    assert list(status["workspaces"]) == ["ege"]
+    for path in ("/v1/status", "/v1/status?generation=1"):
+        status = (await bench.call("GET", path, token="narrow")).json()
+        assert list(status["workspaces"]) == ["ege"]
+    history = await bench.call("GET", "/v1/history", token="narrow")
+    assert history.json()["items"][0]["touched"] == ["workspace/ege"]
+    assert "bakony" not in history.text
 
 
 async def test_refusals_cannot_use_up_the_platform(bench):
@@ -278,6 +300,19 @@
     assert (await bench.call("POST", "/v1/nodes/absent/drain")).status_code == 404
 
 
+async def test_old_drain_requests_are_removed(bench):
+    """Guards against requests that stay in every root's watch for good."""
+    member = build_member(vm="vm-1")
+    await bench.platform.put("nodes/ege-bir/root-1", {"members": [list(member)]})
+    old = {"vm": "vm-0", "incarnation": 1, "author": "admin", "time": 0.0}
+    await bench.platform.put("live/drain/vm-0", old)
+    await bench.platform.put("live/drain/vm-x", {"vm": "malformed"})
+    await bench.call("POST", "/v1/nodes/vm-1/drain")
+    await bench.call("POST", "/v1/nodes/vm-1/drain")
+    kept = await bench.platform.list("live/drain/")
+    assert [item.key for item in kept.objects] == ["live/drain/vm-1", "live/drain/vm-x"]
+
+
 async def test_rollback_is_a_new_generation(bench):
     """Guards against a rollback that lowers the generation."""
     first, second = build_workspace(), build_workspace(retries=1)
@@ -330,3 +365,75 @@
     """Guards against a path that the OpenAPI description leaves out."""
     answer = await bench.call("GET", "/schema/openapi.json", token=None)
     assert len(answer.json()["paths"]) == 14
+
+
+FAULTS = st.sampled_from([None, None, "lose_answers", "lose_requests", "reject_calls"])
+
+
+@settings(max_examples=40)
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans(), FAULTS, st.integers(0, 8)), max_size=8))
+def test_the_audit_trail_agrees_with_the_history_under_faults(steps):
+    """Guards against a change accepted twice, or recorded otherwise than it happened."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(tokens, "SCRYPT_COST", 2)
+        patch.setattr(asyncio, "sleep", skip_sleep)
+        asyncio.run(check_faults(steps))
+
+
+original_sleep = asyncio.sleep
+
+
+async def skip_sleep(_seconds):
+    """Let other tasks run without a delay."""
+    await original_sleep(0)
+
+
+async def check_faults(steps):
+    """Send changes to two instances while platform calls fail, then compare what is on record."""
+    bench = Bench()
+    await bench.add_token("admin", Role.ADMIN)
+    apps = [bench.app, bench.start_instance()]
+    for number, second, fault, after in steps:
+        document = build_workspace(deadline_ms=1000 + number)
+        change = {
+            "change_id": f"c{number}",
+            "workspaces": {"ege": document},
+            "base": {"workspace/ege": await read_digest(bench)},
+        }
+        undo = schedule_fault(bench.platform, fault, after)
+        answer = await bench.call("POST", "/v1/changes", change, app=apps[second])
+        undo()
+        assert answer.status_code in (200, 409, 503, 504)
+    history = (await bench.call("GET", "/v1/history")).json()["items"]
+    accepted = {item["change_id"]: item["generation"] for item in history}
+    assert len(accepted) == len(history)
+    entries = (await bench.call("GET", "/v1/audit")).json()["items"]
+    assert accepted.keys() <= {entry["change_id"] for entry in entries}
+    for entry in entries:
+        if entry["state"] == "accepted":
+            assert accepted[entry["change_id"]] == entry["generation"]
+
+
+async def read_digest(bench):
+    """Return the digest of workspace ege, None before the first change."""
+    answer = await bench.call("GET", "/v1/workspaces/ege")
+    return answer.json().get("digest")
+
+
+def schedule_fault(platform, fault, after):
+    """Make one platform call fail after so many others; return a function that ends this."""
+    enter, calls = platform._enter, 0
+
+    async def enter_with_fault(method, key):
+        nonlocal calls
+        calls += 1
+        if fault is not None and calls == after + 1:
+            setattr(platform, fault, 1)
+        await enter(method, key)
+
+    def undo():
+        platform._enter = enter
+        platform.lose_answers = platform.lose_requests = platform.reject_calls = 0
+
+    platform._enter = enter_with_fault
+    return undo
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -7,9 +7,16 @@
 import httpx
 import pytest
 
-from fakes import FakePlatform
+from certificates import write_identity
+from fakes import FakeClock, FakePlatform
 from ibiswick._internal import tokens
 from ibiswick._internal.api import create_app, open_listener, serve_admin, serve_app
+from ibiswick._internal.api_client import (
+    ApiClient,
+    ApiRefusedError,
+    ApiUnavailableError,
+    Connection,
+)
 from ibiswick._internal.changes import Acceptor
 from ibiswick._internal.errors import SettingsError
 from ibiswick._internal.settings import Address, AdminSettings, PlatformSettings
@@ -27,10 +34,12 @@
     def __init__(self) -> None:
         super().__init__()
         self.entered = asyncio.Event()
+        self.order: list[str] = []
 
     async def get(self, key):
         self.entered.set()
         await asyncio.sleep(0.3)
+        self.order.append("read")
         return await super().get(key)
 
 
@@ -63,6 +72,7 @@
     app = create_app(platform=platform, acceptor=Acceptor(platform=platform))
     stop = asyncio.Event()
     serving = asyncio.create_task(serve_app(app, SETTINGS, listener=listener, stop=stop))
+    serving.add_done_callback(lambda _: platform.order.append("stopped"))
     host, port = listener.getsockname()
     async with httpx.AsyncClient(base_url=f"http://{host}:{port}", trust_env=False) as client:
         headers = {"Authorization": f"Bearer {text}"}
@@ -71,3 +81,26 @@
         stop.set()
         assert (await request).status_code == 200
     await serving
+    assert platform.order == ["read", "read", "stopped"]
+
+
+async def test_tls_shows_the_settings_identity(tmp_path):
+    """Guards against an API that a client with the right authority cannot verify."""
+    settings = SETTINGS._replace(tls=write_identity(tmp_path), allow_plaintext=False)
+    platform = FakePlatform()
+    app = create_app(platform=platform, acceptor=Acceptor(platform=platform))
+    listener = open_listener(settings)
+    listener.listen()
+    stop = asyncio.Event()
+    serving = asyncio.create_task(serve_app(app, settings, listener=listener, stop=stop))
+    host, port = listener.getsockname()
+    for authority, expected in [
+        (settings.tls.authority, ApiRefusedError),
+        (write_identity(tmp_path, "other").authority, ApiUnavailableError),
+    ]:
+        connection = Connection(f"https://{host}:{port}", "x.y", authority)
+        async with ApiClient(connection=connection, sleep=FakeClock().sleep) as client:
+            with pytest.raises(expected):
+                await client.get("/v1/status")
+    stop.set()
+    await serving
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -109,6 +109,11 @@
     with pytest.raises(UnauthenticatedError):
         await bench.verifier.verify(text)
     assert (await bench.verifier.verify(replaced)).name == "ops"
+    await bench.store.remove("ops")
+    await bench.add()
+    bench.clock.advance(tokens.FRESH_S)
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify(replaced)
 
 
 @pytest.mark.parametrize(
