Name roots whose leases expired, and do not expire leases after an outage

A lease seen unchanged across an outage of the platform counted as expired at the first look after it, so a change could be called in effect without any node. Only time without gaps between looks counts now. The status names the roots that it leaves out, and the command line prints them.

--- a/src/ibiswick/_internal/api_fleet.py
+++ b/src/ibiswick/_internal/api_fleet.py
@@ -3,20 +3,33 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from litestar import Controller, Request, delete, get, post
 from litestar.params import FromPath, FromQuery
 
 from .access import AccessControl
-from .api_models import DrainView, NodesView, NodeView, StatusView, WorkspaceStatusView
+from .api_models import (
+    DrainView,
+    NodesView,
+    NodeView,
+    RootStatusView,
+    StatusView,
+    WorkspaceStatusView,
+)
 from .changes import Acceptor
 from .errors import NotFoundError
 from .fleet import DRAIN_PREFIX, DrainRequest, FleetReader
 from .platform import Platform
 from .records import Head, Member
-from .status import ChangeStatus, WorkspaceStatus, compute_status, list_changed_workspaces
+from .status import (
+    ChangeStatus,
+    RootStatus,
+    WorkspaceStatus,
+    compute_status,
+    list_changed_workspaces,
+)
 from .tokens import Action, TokenRecord, can_see
 
 EMPTY_HEAD = Head(generation=0, change="", manifest="", recent=[])
@@ -57,7 +70,13 @@
         visible = [name for name in touched if can_see(token, name)]
         return _view_status(
             compute_status(
-                wanted, head, manifest, observation.reports, observation.leases, touched=visible
+                wanted,
+                head,
+                manifest,
+                observation.reports,
+                observation.leases.current,
+                touched=visible,
+                expired=observation.leases.expired,
             )
         )
 
@@ -120,13 +139,18 @@
         nodes=status.nodes,
         in_effect=status.in_effect,
         roots=status.roots,
-        roots_behind=[root._asdict() for root in status.roots_behind],  # type: ignore[misc]
+        roots_behind=_view_roots(status.roots_behind),
+        roots_expired=_view_roots(status.roots_expired),
         workspaces={
             name: _view_workspace(workspace) for name, workspace in status.workspaces.items()
         },
     )
 
 
+def _view_roots(roots: Iterable[RootStatus]) -> list[RootStatusView]:
+    return [RootStatusView(**root._asdict()) for root in roots]  # type: ignore[typeddict-item]
+
+
 def _view_workspace(status: WorkspaceStatus) -> WorkspaceStatusView:
     return WorkspaceStatusView(
         generation=status.generation,
--- a/src/ibiswick/_internal/api_models.py
+++ b/src/ibiswick/_internal/api_models.py
@@ -104,7 +104,7 @@
 
 
 class RootStatusView(TypedDict):
-    """Name a zone root that has not reported a generation."""
+    """Name a zone root and the head generation that it has reported, None for no report."""
 
     vm: str
     availability_zone: str
@@ -123,6 +123,7 @@
     in_effect: int
     roots: int
     roots_behind: list[RootStatusView]
+    roots_expired: list[RootStatusView]
     workspaces: dict[str, WorkspaceStatusView]
 
 
--- a/src/ibiswick/_internal/commands/ctl_wait.py
+++ b/src/ibiswick/_internal/commands/ctl_wait.py
@@ -66,10 +66,11 @@
     if result.complete and not status["workspaces"]:
         return [f"generation {generation} changes no snapshot"]
     if result.complete:
-        return [
+        summary = (
             f"generation {generation} is in effect on {status['in_effect']} nodes"
             f" after {result.elapsed_s:.2f} s"
-        ]
+        )
+        return [summary, *describe_gaps(status)]
     lines = [
         f"generation {generation} is not in effect everywhere after {result.elapsed_s:.1f} s:"
         f" {status['in_effect']} of {status['nodes']} nodes"
@@ -84,6 +85,13 @@
         f" {'none' if root['head_generation'] is None else root['head_generation']}"
         for root in status["roots_behind"]
     ]
+    lines += [
+        f"  zone root {root['vm']} ({root['availability_zone']}) does not renew its lease;"
+        " its nodes are not counted"
+        for root in status["roots_expired"]
+    ]
+    if not status["roots"]:
+        lines.append("  no node holds a zone-root lease, so no nodes are known")
     for name, workspace in sorted(status["workspaces"].items()):
         named = workspace["exceptions"]
         lines += [
--- a/src/ibiswick/_internal/fleet.py
+++ b/src/ibiswick/_internal/fleet.py
@@ -13,7 +13,7 @@
 from .logs import EventLog
 from .platform import Platform, StoredObject
 from .records import Lease, Member, MemberState, RootReport
-from .status import LeaseKey, LeaseTracker
+from .status import Leases, LeaseTracker
 
 T = TypeVar("T")
 
@@ -35,10 +35,10 @@
 
 
 class Observation(NamedTuple):
-    """Hold the reports and the current leases as read together."""
+    """Hold the reports and the leases as read together."""
 
     reports: list[RootReport]
-    leases: dict[LeaseKey, Lease]
+    leases: Leases
 
 
 class SharedRead(Generic[T]):
@@ -111,8 +111,11 @@
             read_all(self._platform, STATUS_PREFIX), read_all(self._platform, LEASE_PREFIX)
         )
         reports = [self._decode(item, RootReport) for item in statuses]
-        current = self._tracker.observe(leases, now=self._clock())
-        return Observation([report for report in reports if report is not None], current)
+        well_formed = [item for item in leases if self._decode(item, Lease) is not None]
+        return Observation(
+            [report for report in reports if report is not None],
+            self._tracker.observe(well_formed, now=self._clock()),
+        )
 
     def _decode_members(self, item: StoredObject) -> list[Member]:
         rows = item.value.get("members", []) if isinstance(item.value, dict) else []
--- a/src/ibiswick/_internal/status.py
+++ b/src/ibiswick/_internal/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
@@ -11,6 +12,8 @@
 # A live holder renews every 2 s and is replaced after 6 s. A lease that this process has seen
 # unchanged for longer belongs to an availability zone in which no node can reach the platform.
 LEASE_CURRENT_S = 15.0
+# Operators who wait for a change ask at least once a second.
+OBSERVATION_GAP_S = 5.0
 
 
 class WorkspaceStatus(NamedTuple):
@@ -38,7 +41,10 @@
 
 
 class ChangeStatus(NamedTuple):
-    """Say where a generation is in effect; `roots_behind` have not reported it."""
+    """Say where a generation is in effect.
+
+    `roots_behind` have not reported it. The nodes of `roots_expired` are in no count.
+    """
 
     generation: int
     head_generation: int
@@ -48,6 +54,7 @@
     workspaces: dict[str, WorkspaceStatus]
     roots: int
     roots_behind: tuple[RootStatus, ...]
+    roots_expired: tuple[RootStatus, ...]
 
 
 LeaseKey = tuple[str, int]
@@ -61,12 +68,14 @@
     leases: Mapping[LeaseKey, Lease],
     *,
     touched: Collection[str] | None = None,
+    expired: Mapping[LeaseKey, Lease] | None = None,
 ) -> ChangeStatus:
     """Compute the status of a generation from the reports of the roots that hold a lease.
 
-    `leases` maps availability zone and index to the current leases. Without `touched`, the
-    workspaces are those that `head` names for the generation, or all for a generation that it no
-    longer names.
+    `leases` maps availability zone and index to the current leases, `expired` to those whose
+    holders no longer renew them; these are named, and have no influence otherwise. Without
+    `touched`, the workspaces are those that `head` names for the generation, or all for a
+    generation that it no longer names.
     """
     current = _pick_current(reports, leases)
     names = list_changed_workspaces(generation, head, manifest) if touched is None else touched
@@ -87,6 +96,7 @@
         workspaces=workspaces,
         roots=len(leases),
         roots_behind=behind,
+        roots_expired=_list_roots(_pick_current(reports, expired or {}), expired or {}),
     )
 
 
@@ -139,30 +149,53 @@
 def _list_roots_behind(
     generation: int, current: Mapping[LeaseKey, RootReport], leases: Mapping[LeaseKey, Lease]
 ) -> tuple[RootStatus, ...]:
-    behind = []
+    return tuple(
+        root
+        for root in _list_roots(current, leases)
+        if root.head_generation is None or root.head_generation < generation
+    )
+
+
+def _list_roots(
+    reports: Mapping[LeaseKey, RootReport], leases: Mapping[LeaseKey, Lease]
+) -> tuple[RootStatus, ...]:
+    roots = []
     for key, lease in sorted(leases.items()):
-        report = current.get(key)
+        report = reports.get(key)
         reported = None if report is None else report["head_generation"]
-        if reported is None or reported < generation:
-            behind.append(RootStatus(lease["vm"], *key, lease["epoch"], reported))
-    return tuple(behind)
+        roots.append(RootStatus(lease["vm"], *key, lease["epoch"], reported))
+    return tuple(roots)
+
+
+class Leases(NamedTuple):
+    """Hold the leases whose holders renew them, and those whose holders do not."""
+
+    current: dict[LeaseKey, Lease]
+    expired: dict[LeaseKey, Lease]
 
 
 class LeaseTracker:
-    """Tell current leases from those whose holder no longer renews them."""
+    """Tell current leases from those whose holder no longer renews them.
+
+    Only time without a gap between observations counts: after an outage of the platform, all leases
+    are as they were before it, although their holders are about to renew them.
+    """
 
     def __init__(self) -> None:
         self._seen: dict[str, tuple[int, float]] = {}
-
-    def observe(self, objects: Iterable[StoredObject], *, now: float) -> dict[LeaseKey, Lease]:
-        """Return the leases whose version changed within `LEASE_CURRENT_S`, or is new here."""
-        seen: dict[str, tuple[int, float]] = {}
-        current: dict[LeaseKey, Lease] = {}
+        self._observed = -math.inf
+
+    def observe(self, objects: Iterable[StoredObject], *, now: float) -> Leases:
+        """Sort leases by whether their version changed within `LEASE_CURRENT_S`."""
+        known = self._seen if now - self._observed <= OBSERVATION_GAP_S else {}
+        self._observed = now
+        self._seen = {}
+        leases = Leases({}, {})
         for item in objects:
-            version, since = self._seen.get(item.key, (0, now))
-            seen[item.key] = (item.version, since if version == item.version else now)
-            if now - seen[item.key][1] <= LEASE_CURRENT_S:
-                _, availability_zone, index = item.key.split("/")
-                current[availability_zone, int(index)] = item.value
-        self._seen = seen
-        return current
+            version, since = known.get(item.key, (item.version, now))
+            since = since if version == item.version else now
+            self._seen[item.key] = (item.version, since)
+            group = leases.current if now - since <= LEASE_CURRENT_S else leases.expired
+            _, availability_zone, index = item.key.split("/")
+            group[availability_zone, int(index)] = item.value
+        return leases
