--- a/src/ibiswick/_internal/commands/backend.py
+++ b/src/ibiswick/_internal/commands/backend.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 from pathlib import Path
 
 import cyclopts
 import uvicorn
+import uvloop
 
 from ..logs import EventLog, install_handler
 from ..standins.backend import BackendServer, BackendSettings, limit_connections
@@ -46,7 +46,7 @@
         ledger_file=str(ledger) if ledger else None,
     )
     EventLog(component="backend").info("backend-started", vm=vm, port=port, pid=os.getpid())
-    asyncio.run(_run(settings, host, port))
+    uvloop.run(_run(settings, host, port))
 
 
 async def _run(settings: BackendSettings, host: str, port: int) -> None:
--- a/src/ibiswick/_internal/standins/backend.py
+++ b/src/ibiswick/_internal/standins/backend.py
@@ -256,17 +256,20 @@
         self._in_flight += 1
         try:
             service_s = self._draw_service_s(request.path)
-            await _unless_disconnected(asyncio.sleep(service_s * _EFFECT_SHARE), watcher)
+            await _sleep(service_s * _EFFECT_SHARE, watcher)
             # Work that took effect runs to its end: the deadline no longer applies to it.
             deadline.reschedule(None)
             entry.effect = time.time()
             self.ledger.record_effect(entry)
-            await _unless_disconnected(asyncio.sleep(service_s * (1 - _EFFECT_SHARE)), watcher)
+            await _sleep(service_s * (1 - _EFFECT_SHARE), watcher)
         finally:
             self._in_flight -= 1
             self._slots.release()
 
     async def _acquire_slot(self, watcher: asyncio.Task[None]) -> None:
+        if not self._slots.locked():
+            await self._slots.acquire()
+            return
         acquiring = asyncio.ensure_future(self._slots.acquire())
         try:
             await _unless_disconnected(acquiring, watcher)
@@ -377,6 +380,12 @@
         task.cancel()
 
 
+async def _sleep(seconds: float, watcher: asyncio.Task[None]) -> None:
+    # Work without a service time is used to measure the latency of others, so it costs no task.
+    if seconds > 0:
+        await _unless_disconnected(asyncio.sleep(seconds), watcher)
+
+
 async def _wait_disconnect(receive: Receive) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
