--- a/src/ibiswick/_internal/standins/rig.py
+++ b/src/ibiswick/_internal/standins/rig.py
@@ -189,12 +189,18 @@
 
     async def submit_change(self, change_id: str, workspace: Mapping[str, Any]) -> int:
         """Accept a workspace's document without waiting for it; return the generation."""
-        response = await self._http.post(
-            f"http://{HOST}:{self.admin_port}/v1/changes",
-            headers={"authorization": f"Bearer {self._token}"},
-            json={"change_id": change_id, "workspaces": {workspace["name"]: workspace}},
-        )
-        response.raise_for_status()
+        name = workspace["name"]
+        url = f"http://{HOST}:{self.admin_port}/v1"
+        headers = {"authorization": f"Bearer {self._token}"}
+        current = await self._http.get(f"{url}/workspaces/{name}", headers=headers)
+        body = {
+            "change_id": change_id,
+            "workspaces": {name: workspace},
+            "base": {f"workspace/{name}": current.json()["digest"]},
+        }
+        response = await self._http.post(f"{url}/changes", headers=headers, json=body)
+        if response.status_code != 200:
+            raise ProcessFailedError(f"change refused: {response.status_code} {response.text}")
         return response.json()["generation"]
 
     async def start_program(self, program: str, *arguments: str) -> Process:
