--- a/src/ibiswick/_internal/balance.py
+++ b/src/ibiswick/_internal/balance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from .records import Endpoint, ServicePolicy
@@ -122,7 +122,7 @@
             self._local, self._remote = active, []
 
     def choose(
-        self, *, now: float, rng: random.Random, exclude: frozenset[EndpointState] = frozenset()
+        self, *, now: float, rng: random.Random, exclude: tuple[EndpointState, ...] = ()
     ) -> EndpointState | None:
         """Choose an endpoint for the next attempt; one in `exclude` only if there is no other."""
         chosen = self._pick(self._local, now, rng, exclude)
@@ -141,7 +141,7 @@
         states: list[EndpointState],
         now: float,
         rng: random.Random,
-        exclude: frozenset[EndpointState],
+        exclude: tuple[EndpointState, ...],
     ) -> EndpointState | None:
         if exclude:
             states = [state for state in states if state not in exclude]
@@ -208,16 +208,16 @@
         self._partition()
         return HealthChange("ejected", state.endpoint, reason, period_s)
 
-    def readmit(self, *, now: float) -> list[HealthChange]:
+    def readmit(self, *, now: float) -> Sequence[HealthChange]:
         """Readmit the endpoints whose period has passed.
 
         One more failure ejects such an endpoint again, because its failures are not forgotten.
         """
         if not self._ejected:
-            return []
+            return ()
         due = [state for state in self._ejected if state.ejected_until <= now]
         if not due:
-            return []
+            return ()
         self._ejected = [state for state in self._ejected if state.ejected_until > now]
         self._partition()
         return [HealthChange("readmitted", s.endpoint, "period-passed", 0.0) for s in due]
--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -114,7 +114,7 @@
         self.attempts = 0
         self.maybe_ran = False
         self.timed_out = False
-        self.tried: frozenset[EndpointState] = frozenset()
+        self.tried: tuple[EndpointState, ...] = ()
 
 
 class ServiceState:
@@ -254,7 +254,6 @@
         snapshot = self._board.snapshot.value
         endpoints = self._board.endpoints
         if snapshot is self._snapshot and endpoints.version == self._endpoints_version:
-            self._readmit()
             return
         now = self._clock()
         if snapshot is not None and snapshot is not self._snapshot:
@@ -272,12 +271,6 @@
         for name, state in self._services.items():
             state.balancer.update(endpoints.value.get(name, ()), state.policy, now=now)
 
-    def _readmit(self) -> None:
-        now = self._clock()
-        for state in self._services.values():
-            for change in state.balancer.readmit(now=now):
-                self._log_health(change)
-
     def _log_health(self, change: HealthChange) -> None:
         self._counts.add("ibiswick_ejections_total", "event", change.event)
         _log.info(
@@ -307,7 +300,7 @@
             attempts=call.attempts,
             allowed=call.allowed,
             remaining_s=self._upload_idle_s if call.deadline is None else call.deadline - now,
-            elsewhere=len(call.tried) < len(service.balancer.states),
+            elsewhere=len(set(call.tried)) < len(service.balancer.states),
             budget=service.budget,
             now=now,
             rng=self._rng,
@@ -343,11 +336,13 @@
         now = self._clock()
         balancer = service.balancer
         call.attempts += 1
+        for change in balancer.readmit(now=now):
+            self._log_health(change)
         state = balancer.choose(now=now, rng=self._rng, exclude=call.tried)
         if state is None:
             self._counts.add("ibiswick_refused_total", "reason", "no-endpoint")
             return Attempt(Outcome.NOT_RUN, "the service has no endpoint")
-        call.tried |= {state}
+        call.tried += (state,)
         state.in_flight += 1
         try:
             attempt = await self._send(call, service, state, now)
