--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 from collections import Counter
 from typing import Any, NamedTuple
 from unittest import mock
 
 import httptools
+import logbook
 import pytest
 from hypothesis import HealthCheck, Phase, example, given, settings
 from hypothesis import strategies as st
@@ -22,7 +22,7 @@
 from ibiswick._internal import outbound, retries
 from ibiswick._internal.answers import build_not_run
 from ibiswick._internal.blackboard import Blackboard
-from ibiswick._internal.dataplane import DataPlane
+from ibiswick._internal.dataplane import BackendWatcher, DataPlane
 from ibiswick._internal.pool import Connection
 from ibiswick._internal.records import Endpoint, Snapshot
 from ibiswick._internal.records import Phase as NodePhase
@@ -30,8 +30,12 @@
 from ibiswick._internal.serving import bind_socket
 from ibiswick._internal.settings import Address, NodeSettings, PlatformSettings
 
+# Log lines of thousands of simulated calls would hide the result of a test.
+logbook.NullHandler().push_application()
+
 LOCAL = Address("127.0.0.1", 0)
 NODES = 3
+UPLOAD_IDLE_S = 10.0
 ROUTES = (
     build_route(deadline_ms=600),
     build_route(id="hedged", prefix="/hedged", deadline_ms=600, hedge_ms=30),
@@ -178,6 +182,7 @@
             operations=LOCAL,
             platform=PlatformSettings("http://127.0.0.1:1"),
             slots=2,
+            upload_idle_s=UPLOAD_IDLE_S,
         )
 
     def _list_endpoints(self) -> tuple[Endpoint, ...]:
@@ -256,8 +261,9 @@
         strikes = [asyncio.create_task(mesh.strike(fault)) for fault in faults]
         calls = [mesh.call(number, plan) for number, plan in enumerate(plans)]
         results = await asyncio.gather(*calls, return_exceptions=True)
-        # What still runs after the last answer counts as well.
-        await asyncio.sleep(2.0)
+        # What still runs after the last answer counts as well; a node at the end of a silent
+        # connection learns only from the progress limit that its upload is over.
+        await asyncio.sleep(UPLOAD_IDLE_S + 2.0)
         for strike in strikes:
             await strike
         for result in results:
@@ -432,8 +438,63 @@
         search()
 
 
-with contextlib.suppress(ImportError):
-    # Log lines of thousands of simulated calls would hide the result of a test.
-    import logbook
+def test_a_hedged_call_does_not_wait_for_a_slow_endpoint() -> None:
+    """Guard against hedging that never starts, or that waits for both answers."""
+    results, ledger = simulate([Plan(0, 0, "hedged", ("late", "answer"))], [])
+    assert results[0] is not None
+    assert (results[0].status, ledger.runs[0]) == (200, 2)
+
+
+def test_a_silent_connection_costs_an_idempotent_call_one_attempt() -> None:
+    """Guard against open connections that go silent for good while new ones work."""
+    plans = [Plan(at_ms, 0, "status", ("answer",)) for at_ms in (0, 0, 0, 200, 700)]
+    silences = [Fault(100, "silence-peer", node) for node in range(NODES)]
+    results, _ = simulate(plans, silences)
+    assert [result.status for result in results if result is not None] == [200] * 5
+
+
+def test_a_deposit_on_a_silent_connection_has_an_unknown_outcome() -> None:
+    """Guard against a second try, or against "not run", for a call that was sent."""
+    plans = [Plan(0, 0, "status", ("answer",))] * 3 + [Plan(200, 0, "deposit", ("answer",))]
+    silences = [Fault(100, "silence-peer", node) for node in range(NODES)]
+    results, ledger = simulate(plans, silences)
+    assert results[3] is not None
+    assert (results[3].status, results[3].headers["ibiswick-outcome"]) == (504, "unknown")
+    assert ledger.runs[3] <= 1
 
-    logbook.NullHandler().push_application()
+
+def test_an_upload_that_makes_no_progress_ends() -> None:
+    """Guard against a stalled caller that holds a slot for ever."""
+
+    async def main(loop: VirtualLoop) -> tuple[Client, float]:
+        mesh = Mesh(loop, [Plan(0, 0, "upload", ("answer",))])
+        await mesh.start()
+        head = b"POST /upload/0 HTTP/1.1\r\nhost: shop\r\ncontent-length: 300000\r\n\r\n"
+        started = loop.time()
+        client = await request(loop, mesh.nodes[0].caller_port, head, b"x" * 70_000)
+        took_s = loop.time() - started
+        await asyncio.sleep(1.0)
+        mesh.check_idle()
+        return client, took_s
+
+    client, took_s = run_virtual(main)
+    assert client.headers["ibiswick-outcome"] == "unknown"
+    # Time is virtual, so this does not depend on the machine.
+    assert UPLOAD_IDLE_S - 0.5 < took_s < UPLOAD_IDLE_S + 0.5
+
+
+def test_a_backend_server_is_unready_after_three_failures_and_ready_after_one_answer() -> None:
+    """Guard against announcements that follow every single failure."""
+    board = Blackboard()
+    watcher = BackendWatcher(board=board)
+    seen = []
+    for _ in range(3):
+        watcher.note_connect_failure("refused")
+        seen.append(board.backend.value.ready)
+    assert seen == [True, True, False]
+    watcher.note_probe(draining=True)
+    assert board.backend.value == (False, "reports-draining")
+    watcher.note_connect_success()
+    assert not board.backend.value.ready
+    watcher.note_probe(draining=False)
+    assert board.backend.value.ready
