Test lost requests and a failed walk after a lost answer

Trials with wrong code on a scratch copy showed that no test noticed a conflict with another acceptor counted as one's own update, nor "no effect" reported when the settling walk failed.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -16,6 +16,7 @@
 from ibiswick._internal.digests import compute_digest
 from ibiswick._internal.errors import (
     ChangeConflictError,
+    ConflictError,
     InvalidInputError,
     OutcomeUnknownError,
     PlatformUnavailableError,
@@ -282,6 +283,46 @@
         await healthy.submit(request._replace(workspaces={"w": build_workspace(2)}))
 
 
+async def test_unknown_outcome_is_kept_when_the_chain_cannot_be_read() -> None:
+    """Guard against "no effect" when the platform fails between a lost answer and its settling."""
+    platform = FakePlatform()
+    platform.fault_prefix = "live/"
+    platform.lose_answers = 1
+    original = platform.put
+
+    async def fail_after_conflict(key: str, value: Any, *, expected: int | None = None) -> int:
+        try:
+            return await original(key, value, expected=expected)
+        except ConflictError:
+            platform.down = True
+            raise
+
+    platform.put = fail_after_conflict  # type: ignore[method-assign]
+    with pytest.raises(OutcomeUnknownError):
+        await build_acceptor(platform).submit(
+            ChangeRequest("c1", "a", workspaces={"w": build_workspace()})
+        )
+    assert await check_history(platform.store) == {"c1": 1}
+
+
+async def test_lost_request_is_not_taken_for_an_accepted_one() -> None:
+    """Guard against a conflict with another acceptor that counts as one's own lost update."""
+    platform = FakePlatform()
+    platform.fault_prefix = "live/"
+    platform.lose_requests = 1
+    other = build_acceptor(FakePlatform(platform.store))
+    rivals = [ChangeRequest("c2", "a", workspaces={"x": build_workspace()})]
+
+    async def let_rival_win(_seconds: float) -> None:
+        while rivals:
+            await other.submit(rivals.pop())
+
+    acceptor = Acceptor(platform=platform, sleep=let_rival_win)
+    result = await acceptor.submit(ChangeRequest("c1", "a", workspaces={"w": build_workspace()}))
+    assert result.generation == 2
+    assert await check_history(platform.store) == {"c2": 1, "c1": 2}
+
+
 async def test_changes_that_wait_share_one_update() -> None:
     """Guard against a group that fails because of one of its changes."""
     platform = FakePlatform()
