--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import contextlib
+import os
 import socket
+import subprocess
+import sys
 from collections.abc import AsyncIterator, Mapping
 
 import httpx
 import pytest
 import uvicorn
 
+from ibiswick._internal.changes import Acceptor, ChangeRequest, ChangeResult
 from ibiswick._internal.errors import (
     ConflictError,
     NotSentError,
@@ -144,6 +148,29 @@
         assert await platform.get("a") is None
 
 
+async def test_changes_are_accepted_once_over_connections_that_break() -> None:
+    """Guard against a client, transport and acceptor that disagree on what a lost answer means."""
+    async with connect(PlatformApplication(seed=3)) as (platform, plain):
+        acceptor = Acceptor(platform=platform)
+        await plain.post("/_faults", json={"lose_answers": 0.3})
+        workspace = {"services": {"s": {}}, "routes": []}
+        requests = [
+            ChangeRequest(f"c{n}", "test", workspaces={f"w{n}": workspace}) for n in range(10)
+        ]
+        results = await asyncio.gather(
+            *(acceptor.submit(request) for request in requests), return_exceptions=True
+        )
+        await plain.post("/_faults", json={"lose_answers": 0})
+        for request, result in zip(requests, results, strict=True):
+            again = await acceptor.submit(request)
+            if isinstance(result, ChangeResult):
+                assert again.generation == result.generation
+            else:
+                assert isinstance(result, PlatformUnavailableError | OutcomeUnknownError)
+        history = await acceptor.read_history()
+        assert sorted(record["change_id"] for record in history) == [f"c{n}" for n in range(10)]
+
+
 async def test_calls_above_the_rate_are_refused_with_a_delay() -> None:
     application = PlatformApplication(writes_per_s=1.0, clock=lambda: 0.0)
     async with connect(application) as (platform, plain):
@@ -154,6 +181,20 @@
         assert (await plain.get("/_counts")).json()["rejected"] == {"put": 1}
 
 
+def test_plain_node_modules_do_not_load_heavy_libraries() -> None:
+    """Guard against a node that exceeds its memory because of an import."""
+    program = (
+        "import sys, ibiswick._internal.platform, ibiswick._internal.snapshots, "
+        "ibiswick._internal.budgets; "
+        "sys.exit(', '.join({'httpx', 'jsonschema', 'cyclopts', 'litestar'} & sys.modules.keys()))"
+    )
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, env=environment
+    )
+    assert done.stderr.strip() == ""
+
+
 async def test_malformed_requests_are_refused() -> None:
     """Guard against a stand-in that fails where a platform would answer."""
     async with serve(PlatformApplication()) as url, httpx.AsyncClient(base_url=url) as plain:
