--- a/src/ibiswick/_internal/blobs.py
+++ b/src/ibiswick/_internal/blobs.py
@@ -41,13 +41,9 @@
         if digest in self._cache:
             self._cache.move_to_end(digest)
             return self._cache[digest][0]
-        stored = await self._retry(lambda: self._platform.get(f"blobs/{digest}"))
-        if stored is None:
-            raise DamagedBlobError(f"blob {digest} is missing")
-        if compute_digest(stored.value) != digest:
-            raise DamagedBlobError(f"blob {digest} has other content")
-        self._remember(digest, stored.value)
-        return stored.value
+        value = await self._retry(lambda: self._read_once(digest))
+        self._remember(digest, value)
+        return value
 
     async def read_all(self, digests: Iterable[str]) -> dict[str, Any]:
         """Return several values by digest."""
@@ -62,6 +58,14 @@
             [lambda digest=d: self._write(digest, values[digest]) for d in missing]
         )
 
+    async def _read_once(self, digest: str) -> Any:
+        stored = await self._platform.get(f"blobs/{digest}")
+        if stored is None:
+            raise DamagedBlobError(f"blob {digest} is missing")
+        if compute_digest(stored.value) != digest:
+            raise DamagedBlobError(f"blob {digest} has other content")
+        return stored.value
+
     async def _write(self, digest: str, value: Any) -> None:
         # Writing the same content again does no harm, so a lost answer is settled by a new attempt.
         await self._retry(lambda: self._platform.put(f"blobs/{digest}", value))
@@ -71,7 +75,8 @@
         for attempt in range(ATTEMPTS):
             try:
                 return await call()
-            except PlatformUnavailableError:
+            # A blob that is missing may have been written just before an outdated read.
+            except (PlatformUnavailableError, DamagedBlobError):
                 if attempt == ATTEMPTS - 1:
                     raise
             except OutcomeUnknownError as error:
--- a/src/ibiswick/_internal/changes.py
+++ b/src/ibiswick/_internal/changes.py
@@ -24,6 +24,7 @@
     IbiswickError,
     InvalidInputError,
     OutcomeUnknownError,
+    PlatformError,
     PlatformUnavailableError,
     Problem,
 )
@@ -398,7 +399,7 @@
         try:
             newest = await self._chain.read_state(at_least=conflict.version)
             remaining = await self._resolve_accepted(batch, newest.record, above=state.generation)
-        except PlatformUnavailableError as error:
+        except PlatformError as error:
             if conflict.may_be_accepted:
                 raise OutcomeUnknownError(error.detail) from error
             raise
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -17,6 +17,7 @@
 from ibiswick._internal.errors import (
     ChangeConflictError,
     ConflictError,
+    DamagedBlobError,
     InvalidInputError,
     OutcomeUnknownError,
     PlatformUnavailableError,
@@ -428,6 +429,21 @@
     assert platform.store.revision == 0
 
 
+async def test_damaged_blob_is_reported() -> None:
+    """Guard against documents that are not what an operator had accepted."""
+    platform = FakePlatform()
+    await build_acceptor(platform).submit(
+        ChangeRequest("c1", "a", workspaces={"w": build_workspace()})
+    )
+    manifest = await build_acceptor(platform).read_manifest(platform.store.get("live/head"))
+    key = f"blobs/{manifest['workspaces']['w']['parameters']}"
+    request = ChangeRequest("c2", "a", workspaces={"x": build_workspace()})
+    for damage in (lambda: platform.store.put(key, {}), lambda: platform.store.delete(key)):
+        damage()
+        with pytest.raises(DamagedBlobError):
+            await build_acceptor(platform).submit(request)
+
+
 async def test_single_refused_calls_do_not_fail_a_change() -> None:
     """Guard against changes that fail while the platform is merely at its rate."""
     for prefix in ("live/", "changes/", "blobs/"):
