Close silent connections to the administration API

uvicorn limits neither the time to the first request nor that within one, so peers that go silent, or hold their requests back, could use up the 256 connections for good. Connections without a new request for 60 s are now closed; a change that is still running then goes on and can be asked for again with its change id. Interrupting ibiswickctl ends it with code 130 instead of a traceback.

--- a/src/ibiswick/_internal/api.py
+++ b/src/ibiswick/_internal/api.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -46,6 +47,9 @@
 # memory of the VM.
 MAX_CONCURRENT_REQUESTS = 256
 GRACEFUL_STOP_S = 5
+# Longer than the acceptor tries to settle a change on a slow platform.
+REQUEST_TIME_LIMIT_S = 60.0
+TICKS_PER_SWEEP = 10
 # The platform takes about four times as many reads as writes.
 CALLS_PER_WRITE = 5
 
@@ -99,7 +103,33 @@
 
 
 class _Server(uvicorn.Server):
-    """Leave signals to the program that hosts the API."""
+    """Leave signals to the program that hosts the API, and close silent connections.
+
+    uvicorn limits only the time between a response and the first byte of the next request. A peer
+    that goes silent at any other moment would hold one of `MAX_CONCURRENT_REQUESTS` for good.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._requests: dict[Any, tuple[Any, float]] = {}
+
+    async def on_tick(self, counter: int) -> bool:
+        """Do what is due every 0.1 s; return whether to stop."""
+        if counter % TICKS_PER_SWEEP == 0:
+            self._close_silent(time.monotonic())
+        return await super().on_tick(counter)
+
+    def _close_silent(self, now: float) -> None:
+        requests: dict[Any, tuple[Any, float]] = {}
+        for connection in list(self.server_state.connections):
+            request = getattr(connection, "cycle", None)
+            known, since = self._requests.get(connection, (request, now))
+            since = since if known is request else now
+            requests[connection] = (request, since)
+            if now - since > REQUEST_TIME_LIMIT_S:
+                _log.warn("connection-closed", reason=f"no new request in {REQUEST_TIME_LIMIT_S} s")
+                connection.transport.abort()
+        self._requests = requests
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
--- a/src/ibiswick/_internal/commands/ctl.py
+++ b/src/ibiswick/_internal/commands/ctl.py
@@ -51,4 +51,8 @@
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(asyncio.run(run(sys.argv[1:])))
+    try:
+        code = asyncio.run(run(sys.argv[1:]))
+    except KeyboardInterrupt:
+        code = ExitCode.INTERRUPTED
+    sys.exit(code)
--- a/src/ibiswick/_internal/commands/ctl_support.py
+++ b/src/ibiswick/_internal/commands/ctl_support.py
@@ -29,6 +29,7 @@
     NOT_IN_EFFECT = 4
     UNAVAILABLE = 5
     NOT_AUTHORIZED = 6
+    INTERRUPTED = 130
 
 
 EXIT_BY_STATUS = {
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import httpx
 import pytest
 
 from certificates import write_identity
 from fakes import FakeClock, FakePlatform
-from ibiswick._internal import tokens
+from ibiswick._internal import api, tokens
 from ibiswick._internal.api import create_app, open_listener, serve_admin, serve_app
 from ibiswick._internal.api_client import (
     ApiClient,
@@ -104,3 +105,23 @@
                 await client.get("/v1/status")
     stop.set()
     await serving
+
+
+async def test_silent_connections_are_closed(monkeypatch):
+    """Guards against peers that went silent holding every connection that the API accepts."""
+    monkeypatch.setattr(api, "REQUEST_TIME_LIMIT_S", 0.0)
+    monkeypatch.setattr(api, "TICKS_PER_SWEEP", 1)
+    platform = FakePlatform()
+    app = create_app(platform=platform, acceptor=Acceptor(platform=platform))
+    listener = open_listener(SETTINGS)
+    listener.listen()
+    stop = asyncio.Event()
+    serving = asyncio.create_task(serve_app(app, SETTINGS, listener=listener, stop=stop))
+    for sent in (b"", b"GET /v1/status HTTP/1.1\r\n", b"POST /v1/changes HTTP/1.1\r\nContent-"):
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        writer.write(sent)
+        with contextlib.suppress(ConnectionError):
+            assert await reader.read() == b""
+        writer.close()
+    stop.set()
+    await serving
