--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -85,43 +85,43 @@
     assert platform.order == ["read", "read", "stopped"]
 
 
-async def test_tls_shows_the_settings_identity(tmp_path):
-    """Guards against an API that a client with the right authority cannot verify."""
-    settings = SETTINGS._replace(tls=write_identity(tmp_path), allow_plaintext=False)
+@contextlib.asynccontextmanager
+async def serve(settings):
+    """Serve the application on a fake platform and yield its address."""
     platform = FakePlatform()
     app = create_app(platform=platform, acceptor=Acceptor(platform=platform))
     listener = open_listener(settings)
     listener.listen()
     stop = asyncio.Event()
     serving = asyncio.create_task(serve_app(app, settings, listener=listener, stop=stop))
-    host, port = listener.getsockname()
-    for authority, expected in [
-        (settings.tls.authority, ApiRefusedError),
-        (write_identity(tmp_path, "other").authority, ApiUnavailableError),
-    ]:
-        connection = Connection(f"https://{host}:{port}", "x.y", authority)
-        async with ApiClient(connection=connection, sleep=FakeClock().sleep) as client:
-            with pytest.raises(expected):
-                await client.get("/v1/status")
+    yield listener.getsockname()
     stop.set()
     await serving
 
 
+async def test_tls_shows_the_settings_identity(tmp_path):
+    """Guards against an API that a client with the right authority cannot verify."""
+    settings = SETTINGS._replace(tls=write_identity(tmp_path), allow_plaintext=False)
+    async with serve(settings) as (host, port):
+        for authority, expected in [
+            (settings.tls.authority, ApiRefusedError),
+            (write_identity(tmp_path, "other").authority, ApiUnavailableError),
+        ]:
+            connection = Connection(f"https://{host}:{port}", "x.y", authority)
+            async with ApiClient(connection=connection, sleep=FakeClock().sleep) as client:
+                with pytest.raises(expected):
+                    await client.get("/v1/status")
+
+
 async def test_silent_connections_are_closed(monkeypatch):
     """Guards against peers that went silent holding every connection that the API accepts."""
     monkeypatch.setattr(api, "REQUEST_TIME_LIMIT_S", 0.0)
     monkeypatch.setattr(api, "TICKS_PER_SWEEP", 1)
-    platform = FakePlatform()
-    app = create_app(platform=platform, acceptor=Acceptor(platform=platform))
-    listener = open_listener(SETTINGS)
-    listener.listen()
-    stop = asyncio.Event()
-    serving = asyncio.create_task(serve_app(app, SETTINGS, listener=listener, stop=stop))
-    for sent in (b"", b"GET /v1/status HTTP/1.1\r\n", b"POST /v1/changes HTTP/1.1\r\nContent-"):
-        reader, writer = await asyncio.open_connection(*listener.getsockname())
-        writer.write(sent)
-        with contextlib.suppress(ConnectionError):
-            assert await reader.read() == b""
-        writer.close()
-    stop.set()
-    await serving
+    heads = (b"", b"GET /v1/status HTTP/1.1\r\n", b"POST /v1/changes HTTP/1.1\r\nContent-")
+    async with serve(SETTINGS) as address:
+        for sent in heads:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(sent)
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+            writer.close()
