Remember every link that tells a member record

A record was tied to the link it was first heard on, so a root dropped a live member when that root's peer no longer reached it although another one did. Entries now hold all links that tell the record, and a node retracts from its parent and from other roots what has moved out of its subtree. Interests are tracked for each link, because a new link made the others miss a change.

--- a/src/ibiswick/_internal/agent.py
+++ b/src/ibiswick/_internal/agent.py
@@ -14,7 +14,7 @@
 from .directory import Directory
 from .errors import MessageError
 from .leases import LeaseKeeper
-from .membership import build_endpoints, refute_record, select_members
+from .membership import Entry, build_endpoints, refute_record, select_members
 from .messages import (
     Accept,
     DeltaSnapshot,
@@ -34,6 +34,7 @@
     Promote,
     Redirect,
     Refuse,
+    Removal,
     Report,
     RootJoin,
     SnapshotRequest,
@@ -356,12 +357,21 @@
             self.ctx.send(link, MembersRequest(link.heard_serial), now)
         link.heard_serial = message.serial
         if message.full:
-            self.ctx.table.mark_stale(link.number, now)
-        for member in message.members:
-            self._merge(link, member, now)
+            self._take_view(link, message, now)
+        else:
+            for member in message.members:
+                self._merge(link, member, now)
         for removal in message.removals:
             self._remove(link, removal, now)
 
+    def _take_view(self, link: Link, message: Members, now: float) -> None:
+        """Replace what a link told before; it is stale where the view does not repeat it."""
+        for member in message.members:
+            self._merge(link, member, now)
+        repeated = {member.vm for member in message.members}
+        self.ctx.table.mark_stale(link.number, now, keep=repeated)
+        self.ctx.outbox.note(now)
+
     def _on_members_request(self, link: Link, _message: MembersRequest, now: float) -> None:
         if link.established:
             link.full_due = True
@@ -424,6 +434,7 @@
     def _begin_leave(self, now: float) -> None:
         self.ctx.leaving = True
         self.ctx.announce(now, MemberState.LEAVING)
+        self._endpoints_gate.note(now, at_once=True)
         self.ctx.log("info", "leaving-announced", vm=self.ctx.own.vm)
         self._leave_at = now + self._settings.leave_notice_s
         self._flush(now)
@@ -539,27 +550,13 @@
         table = self.ctx.table
         full = link.full_due
         after = 0 if full else link.cursor
-        services = self._list_services(link)
-        gained = services - link.services
-        workspace = link.workspace if link.role is Role.CHILD else self.ctx.own.workspace
-
-        def is_due(entry: Any) -> bool:
-            if entry.via == link.number:
-                return False
-            member = entry.member
-            if link.role is Role.CHILD:
-                if member.workspace != workspace or member.service not in services:
-                    return member.vm == link.vm
-                return entry.version > after or member.service in gained
-            if entry.via not in below:
-                return False
-            return link.role is Role.PARENT or member.workspace in link.interests
-
-        entries = table.list_changes(0 if gained else after)
-        members = select_members(entries, is_due)
-        removals = () if full else tuple(table.list_removals(after))
+        if link.role is Role.CHILD:
+            members = self._select_for_child(link, after)
+            moved: list[Removal] = []
+        else:
+            members, moved = self._select_for_upper(link, after, below)
+        removals = [] if full else [*table.list_removals(after), *moved]
         link.cursor = table.version
-        link.services = services
         link.full_due = False
         if not (members or removals or full):
             return
@@ -570,9 +567,50 @@
         for position, chunk in enumerate(chunks or [()]):
             link.serial += 1
             first = position == 0
-            message = Members(link.serial, full and first, chunk, removals if first else ())
+            message = Members(link.serial, full and first, chunk, tuple(removals) if first else ())
             self.ctx.send(link, message, now)
 
+    def _select_for_child(self, link: Link, after: int) -> tuple[Member, ...]:
+        """Return what a child must hear of its workspace's routed services and of itself."""
+        services = self._list_services(link)
+        gained = services - link.services
+        link.services = services
+
+        def is_due(entry: Entry) -> bool:
+            member = entry.member
+            if entry.via == link.number or member.workspace != link.workspace:
+                return False
+            if member.service in gained:
+                return True
+            routed = member.service in services or member.vm == link.vm
+            return routed and entry.version > after
+
+        return select_members(self.ctx.table.list_changes(0 if gained else after), is_due)
+
+    def _select_for_upper(
+        self, link: Link, after: int, below: set[int]
+    ) -> tuple[tuple[Member, ...], list[Removal]]:
+        """Return what a parent or another root must hear of this subtree.
+
+        What moved out of the subtree is retracted.
+        """
+        workspaces = link.interests if link.role is Role.PEER else {self.ctx.own.workspace}
+        if link.full_due:
+            link.told.clear()
+        moved = []
+        entries = self.ctx.table.list_changes(after)
+        for entry in entries:
+            member = entry.member
+            if entry.via not in below and member.vm in link.told:
+                moved.append(Removal(member.vm, member.incarnation, member.sequence, True))
+                link.told.discard(member.vm)
+        members = select_members(
+            entries,
+            lambda entry: entry.via in below and entry.member.workspace in workspaces,
+        )
+        link.told.update(member.vm for member in members)
+        return members, moved
+
     def _list_services(self, link: Link) -> frozenset[str]:
         if link.role is not Role.CHILD:
             return frozenset()
@@ -605,6 +643,7 @@
         snapshot = self._board.snapshot.value
         state = (self.ctx.table.version, 0 if snapshot is None else snapshot.generation)
         if state == self._endpoints_of:
+            self._endpoints_gate.due = None
             return
         if self._endpoints_gate.due is None:
             self._endpoints_gate.note(now)
--- a/src/ibiswick/_internal/context.py
+++ b/src/ibiswick/_internal/context.py
@@ -56,8 +56,11 @@
         self.heard_serial = 0
         self.cursor = 0
         self.full_due = True
+        # Of a parent or another root: the VMs that it was told to reach by this node.
+        self.told: set[str] = set()
         self.services: frozenset[str] = frozenset()
         self.interests: frozenset[str] = frozenset()
+        self.told_interests: frozenset[str] = frozenset()
         # Of a child: the snapshot it has or was sent, and its last report.
         self.generation = 0
         self.digest = ""
--- a/src/ibiswick/_internal/control.py
+++ b/src/ibiswick/_internal/control.py
@@ -26,6 +26,8 @@
 from .tls import build_client_context, build_server_context
 
 METRICS_INTERVAL_S = 1.0
+# Keeps a timer that is always due from occupying the event loop.
+MIN_TIMER_S = 0.001
 
 
 class ControlPlane:
@@ -233,7 +235,7 @@
             self._timer.cancel()
         self._timer_at = due
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(max(0.0, due - now), self._tick)
+        self._timer = loop.call_later(max(MIN_TIMER_S, due - now), self._tick)
 
     def _tick(self) -> None:
         assert self.agent is not None
--- a/src/ibiswick/_internal/headreader.py
+++ b/src/ibiswick/_internal/headreader.py
@@ -113,7 +113,7 @@
 
     def get_due(self) -> float | None:
         """Return when gathered changes are due."""
-        return self._gate.due
+        return self._gate.due if self._running else None
 
     def get_generation(self, workspace: str) -> int:
         """Return the committed generation of a workspace, or -1 before the first head is read."""
--- a/src/ibiswick/_internal/membership.py
+++ b/src/ibiswick/_internal/membership.py
@@ -4,7 +4,7 @@
 
 import itertools
 import sys
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 from typing import Any
 
 from .messages import Removal
@@ -50,14 +50,19 @@
 
 
 class Entry:
-    """Hold one member with the link it is reached by."""
+    """Hold one member with the links that it was heard on.
 
-    __slots__ = ("final_since", "member", "stale_since", "version", "via")
+    `via` is the link that the member is reached by, `others` are further links that told the same
+    record. A record that no link tells any more is stale.
+    """
+
+    __slots__ = ("final_since", "member", "others", "stale_since", "version", "via")
 
-    def __init__(self, member: Member, *, via: int, version: int, now: float) -> None:
+    def __init__(self, member: Member, *, via: int, now: float) -> None:
         self.member = member
         self.via = via
-        self.version = version
+        self.others: tuple[int, ...] = ()
+        self.version = 0
         self.stale_since: float | None = None
         self.final_since = now if member.state >= MemberState.LEAVING else None
 
@@ -65,8 +70,7 @@
 class MemberTable:
     """Keep member records, ordered by the version of their last change.
 
-    `via` is the number of the link that a record was last heard on. A record whose link closed is
-    stale; it is removed unless it is heard again in time.
+    A stale record is removed unless it is heard again in time.
     """
 
     def __init__(self) -> None:
@@ -88,40 +92,43 @@
         """Merge a record heard on a link; return whether the table changed.
 
         `closer` means that the link leads to a child. An equal record from there takes the member
-        over from another link. From elsewhere it does so only when the known way to the member is
-        stale, because a parent may still send what it heard before the member moved.
+        over from another link, because a parent may still send what it heard before a move.
         """
         entry = self._entries.get(member.vm)
-        if entry is None:
-            self._put(Entry(_intern(member), via=via, version=0, now=now))
-            return True
-        if rank_member(member) < rank_member(entry.member):
+        if entry is not None and rank_member(member) < rank_member(entry.member):
             return False
-        if member == entry.member:
-            return self._refresh(entry, via, closer=closer)
-        self._put(Entry(_intern(member), via=via, version=0, now=now))
+        if entry is not None and member == entry.member:
+            return self._add_source(entry, via, closer=closer)
+        self._put(Entry(_intern(member), via=via, now=now))
         return True
 
     def remove(self, removal: Removal, *, via: int, now: float) -> bool:
-        """Apply a retraction from the link that the member is reached by."""
+        """Apply a retraction heard on a link; return whether the table changed."""
         entry = self._entries.get(removal.vm)
-        if entry is None or entry.via != via or entry.final_since is not None:
+        if entry is None or via not in (entry.via, *entry.others):
             return False
-        if (entry.member.incarnation, entry.member.sequence) > removal[1:]:
+        if (entry.member.incarnation, entry.member.sequence) > (
+            removal.incarnation,
+            removal.sequence,
+        ):
             return False
-        self._drop(entry, now)
-        return True
+        changed = self._drop_source(entry, via, now)
+        if entry.stale_since is not None and entry.final_since is None and not removal.moved:
+            self._drop(entry, now)
+            return True
+        return changed
 
     def repeat(self, vm: str) -> None:
         """Count a record as changed, so that it is sent again."""
         if vm in self._entries:
             self._put(self._entries[vm])
 
-    def mark_stale(self, via: int, now: float) -> None:
-        """Mark what was heard on a link as stale, because it closed or sends a complete view."""
-        for entry in self._entries.values():
-            if entry.via == via and entry.stale_since is None:
-                entry.stale_since = now
+    def mark_stale(self, via: int, now: float, *, keep: Container[str] = ()) -> None:
+        """Forget that a link told records, because it closed or its complete view lacks them."""
+        told = [entry for entry in self if via == entry.via or via in entry.others]
+        for entry in told:
+            if entry.member.vm not in keep:
+                self._drop_source(entry, via, now)
 
     def expire(self, now: float, *, retention_s: float) -> bool:
         """Remove stale records and old final ones; return whether a live record went."""
@@ -160,23 +167,41 @@
         self._removals.pop(vm, None)
         self._entries[vm] = entry
 
-    def _refresh(self, entry: Entry, via: int, *, closer: bool) -> bool:
+    def _add_source(self, entry: Entry, via: int, *, closer: bool) -> bool:
         if entry.via == via:
             entry.stale_since = None
             return False
         if entry.stale_since is None and not closer:
+            if via not in entry.others:
+                entry.others = (*entry.others, via)
             return False
-        entry.stale_since = None
-        # A new link may change who must be told, so the record counts as changed.
+        others = () if entry.stale_since is not None else (*entry.others, entry.via)
+        self._move(entry, via, others)
+        return True
+
+    def _drop_source(self, entry: Entry, via: int, now: float) -> bool:
+        if entry.via != via:
+            entry.others = tuple(other for other in entry.others if other != via)
+            return False
+        if entry.others:
+            self._move(entry, entry.others[-1], entry.others[:-1])
+            return True
+        if entry.stale_since is None:
+            entry.stale_since = now
+        return False
+
+    def _move(self, entry: Entry, via: int, others: tuple[int, ...]) -> None:
+        """Reach a member by another link; that counts as a change, because others must be told."""
         entry.via = via
+        entry.others = tuple(other for other in others if other != via)
+        entry.stale_since = None
         self._put(entry)
-        return True
 
     def _drop(self, entry: Entry, now: float) -> None:
         member = entry.member
         self.version += 1
         del self._entries[member.vm]
-        removal = Removal(member.vm, member.incarnation, member.sequence)
+        removal = Removal(member.vm, member.incarnation, member.sequence, False)
         self._removals[member.vm] = (self.version, now, removal)
 
 
--- a/src/ibiswick/_internal/messages.py
+++ b/src/ibiswick/_internal/messages.py
@@ -111,11 +111,15 @@
 
 
 class Removal(NamedTuple):
-    """Retract a member record up to an incarnation and sequence."""
+    """Retract a member record up to an incarnation and sequence.
+
+    `moved` means that the sender no longer reaches the member, which others may still do.
+    """
 
     vm: Text
     incarnation: Number
     sequence: Number
+    moved: bool
 
 
 class Members(NamedTuple):
--- a/src/ibiswick/_internal/peers.py
+++ b/src/ibiswick/_internal/peers.py
@@ -38,7 +38,6 @@
         self._notice_unlisted = notice_unlisted
         self._pending: dict[int, RootJoin] = {}
         self._redial_at: dict[str, float] = {}
-        self._interests: frozenset[str] = frozenset()
 
     def tick(self, now: float) -> None:
         """Open missing links and pass on changed interests."""
@@ -53,7 +52,7 @@
 
     def greet(self, link: Link, now: float) -> None:
         """Send the first message on a link that this node opened."""
-        self._ctx.send(link, self._build_join(), now)
+        self._ctx.send(link, self._build_join(link), now)
 
     def join(self, link: Link, message: RootJoin, now: float) -> None:
         """Take another root's first message, and answer it on a link that it opened."""
@@ -84,7 +83,7 @@
         link.epoch = message.epoch
         link.interests = frozenset(message.interests)
         if answer:
-            self._ctx.send(link, self._build_join(), now)
+            self._ctx.send(link, self._build_join(link), now)
         self._ctx.outbox.note(now)
 
     def take_interest(self, link: Link, message: Interest, now: float) -> None:
@@ -140,9 +139,9 @@
         lease = self._directory.zones.get(message.availability_zone, {}).get(message.index)
         return lease is not None and (lease["vm"], lease["epoch"]) == (message.vm, message.epoch)
 
-    def _build_join(self) -> RootJoin:
+    def _build_join(self, link: Link) -> RootJoin:
         own = self._ctx.own
-        self._interests = frozenset(self._list_carried())
+        link.told_interests = frozenset(self._list_carried())
         return RootJoin(
             version=PROTOCOL_VERSION,
             vm=own.vm,
@@ -150,13 +149,12 @@
             availability_zone=own.availability_zone,
             index=self._keeper.held or 0,
             epoch=self._keeper.epoch,
-            interests=tuple(sorted(self._interests)),
+            interests=tuple(sorted(link.told_interests)),
         )
 
     def _send_interests(self, now: float) -> None:
         interests = frozenset(self._list_carried())
-        if interests == self._interests:
-            return
-        self._interests = interests
         for link in self._ctx.list_links(Role.PEER):
-            self._ctx.send(link, Interest(tuple(sorted(interests))), now)
+            if interests != link.told_interests:
+                link.told_interests = interests
+                self._ctx.send(link, Interest(tuple(sorted(interests))), now)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -111,6 +111,7 @@
             ),
         )
         self.agent.start(self.world.now)
+        self.world.forget_tick(self.vm)
         self.world.settle(self)
 
 
@@ -271,8 +272,12 @@
             self._ticks[node.vm] = due
             self._at(due, lambda life=node.life: self._tick(node, life, due))
 
+    def forget_tick(self, vm: str) -> None:
+        """Forget the next tick of a process that ended."""
+        self._ticks.pop(vm, None)
+
     def _tick(self, node: Node, life: int, due: float) -> None:
-        if self._ticks.get(node.vm) == due:
+        if node.life == life and self._ticks.get(node.vm) == due:
             self._ticks[node.vm] = float("inf")
             self._event(node, life, lambda: node.agent.tick(self.now))
 
