--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -32,6 +32,7 @@
     WORKSPACE,
     RequestHead,
     ResponseHead,
+    find_retry_after,
     normalize_host,
     read_request_head,
     read_response_head,
@@ -57,6 +58,9 @@
 # must not run twice could not be sent again.
 ALIVE_WITHIN_S = 1.0
 RETRY_AFTER_UNREADY_S = 1.0
+# Responses of a backend server that count against it when endpoints are chosen. The response itself
+# still goes to the caller, because the call may have run.
+FAILURE_STATUSES = frozenset((500, 502, 503, 504))
 RETRY_AFTER_DRAINING_S = 1.0
 
 _log = EventLog(component="outbound")
@@ -70,6 +74,7 @@
     response: ExchangeResponse | None = None
     head: ResponseHead | None = None
     is_busy: bool = False
+    retry_after_s: float = RETRY_AFTER_UNREADY_S
 
 
 class Call:
@@ -109,7 +114,7 @@
         self.attempts = 0
         self.maybe_ran = False
         self.timed_out = False
-        self.tried: frozenset[EndpointState] = frozenset()
+        self.tried: tuple[EndpointState, ...] = ()
 
 
 class ServiceState:
@@ -249,7 +254,6 @@
         snapshot = self._board.snapshot.value
         endpoints = self._board.endpoints
         if snapshot is self._snapshot and endpoints.version == self._endpoints_version:
-            self._readmit()
             return
         now = self._clock()
         if snapshot is not None and snapshot is not self._snapshot:
@@ -267,12 +271,6 @@
         for name, state in self._services.items():
             state.balancer.update(endpoints.value.get(name, ()), state.policy, now=now)
 
-    def _readmit(self) -> None:
-        now = self._clock()
-        for state in self._services.values():
-            for change in state.balancer.readmit(now=now):
-                self._log_health(change)
-
     def _log_health(self, change: HealthChange) -> None:
         self._counts.add("ibiswick_ejections_total", "event", change.event)
         _log.info(
@@ -302,6 +300,7 @@
             attempts=call.attempts,
             allowed=call.allowed,
             remaining_s=self._upload_idle_s if call.deadline is None else call.deadline - now,
+            elsewhere=len(set(call.tried)) < len(service.balancer.states),
             budget=service.budget,
             now=now,
             rng=self._rng,
@@ -337,14 +336,19 @@
         now = self._clock()
         balancer = service.balancer
         call.attempts += 1
+        for change in balancer.readmit(now=now):
+            self._log_health(change)
         state = balancer.choose(now=now, rng=self._rng, exclude=call.tried)
         if state is None:
             self._counts.add("ibiswick_refused_total", "reason", "no-endpoint")
             return Attempt(Outcome.NOT_RUN, "the service has no endpoint")
-        call.tried |= {state}
+        call.tried += (state,)
         state.in_flight += 1
         try:
             attempt = await self._send(call, service, state, now)
+        except asyncio.CancelledError:
+            balancer.note_abandoned(state, latency_s=self._clock() - now)
+            raise
         finally:
             state.in_flight -= 1
         self._counts.add("ibiswick_attempts_total", "outcome", attempt.outcome)
@@ -369,6 +373,7 @@
                 deadline=deadline,
                 idempotent=idempotent,
                 attempts_left=call.allowed - call.attempts + 1,
+                typical_s=service.balancer.typical_latency_s,
             )
         limits = Limits(
             deadline,
@@ -406,7 +411,8 @@
             detail = str(error)
         if head.outcome == OUTCOME_NOT_RUN:
             is_busy = head.load is not None and head.load.in_flight >= head.load.slots
-            return Attempt(Outcome.NOT_RUN, detail, None, head, is_busy)
+            retry_after_s = find_retry_after(head.headers)
+            return Attempt(Outcome.NOT_RUN, detail, None, head, is_busy, retry_after_s)
         if response.status == 504:
             return Attempt(Outcome.TIMEOUT, detail, None, head)
         return Attempt(Outcome.LOST, detail, None, head)
@@ -454,13 +460,17 @@
         load = attempt.head.load if attempt.head is not None else None
         if load is not None:
             balancer.note_load(state, load.in_flight + load.queued, now=now)
-        if attempt.outcome is Outcome.RESPONSE:
+        status = attempt.response.status if attempt.response is not None else 0
+        if attempt.outcome is Outcome.RESPONSE and status not in FAILURE_STATUSES:
             balancer.note_success(state, latency_s=now - started)
             return
+        if attempt.outcome is Outcome.TIMEOUT:
+            balancer.note_abandoned(state, latency_s=now - started)
         if attempt.is_busy:
             # The backend server is busy, not broken.
             return
-        change = balancer.note_failure(state, now=now, reason=attempt.outcome.value)
+        reason = f"status-{status}" if status else attempt.outcome.value
+        change = balancer.note_failure(state, now=now, reason=reason)
         if change is not None:
             self._log_health(change)
 
@@ -487,7 +497,7 @@
         """
         if call.maybe_ran:
             return build_unknown(attempt.detail, timed_out=call.timed_out)
-        return build_not_run(attempt.detail, retry_after_s=RETRY_AFTER_UNREADY_S)
+        return build_not_run(attempt.detail, retry_after_s=attempt.retry_after_s)
 
 
 async def _take_first(tasks: set[asyncio.Task[Attempt]]) -> Attempt:
