Start a shared backend server only once

Nodes that start at the same time each found no running backend server and started one; the rig ended only the last. The test counts the starts.

--- a/src/ibiswick/_internal/standins/measure_convergence.py
+++ b/src/ibiswick/_internal/standins/measure_convergence.py
@@ -70,7 +70,10 @@
 async def measure_endpoint(fleet: Fleet) -> list[list[str | int]]:
     """Measure how long one leaving and one killed backend server take to be known everywhere."""
     rig = fleet.rig
-    leaving, killed = list(rig.nodes)[4:6]
+    roots = list_roots(rig)
+    service = rig.plan.services[0]
+    plain = [vm for vm, node in rig.nodes.items() if node.service is service and vm not in roots]
+    leaving, killed = plain[:2]
     at = time.time()
     await rig.control("drain", leaving)
     announced = (await rig.wait_events("leaving-announced", [leaving], after=at))[leaving].at
@@ -81,7 +84,7 @@
     lost = await _list_endpoint_delays(rig, {leaving, killed}, at)
     return [
         _format_delays(fleet, "one endpoint leaves", [left]),
-        _format_delays(fleet, "one endpoint is killed (includes the time to notice)", [lost]),
+        _format_delays(fleet, "one endpoint is killed, 3 s grace included", [lost]),
     ]
 
 
@@ -134,6 +137,11 @@
     return max(event.at for event in applied.values()) - at
 
 
+def list_roots(rig: Rig) -> set[str]:
+    """Return the nodes that ever took a zone-root lease."""
+    return {vm for vm, event in rig.read_node_events() if event.name == "lease-taken"}
+
+
 def find_root(rig: Rig) -> str:
     """Return the node that took a zone-root lease first."""
     taken = [(event.at, vm) for vm, event in rig.read_node_events() if event.name == "lease-taken"]
--- a/src/ibiswick/_internal/standins/measure_nodes.py
+++ b/src/ibiswick/_internal/standins/measure_nodes.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from .deployments import Deployment
-from .measure_convergence import CONTROL_BYTES, restart_vms
+from .measure_convergence import CONTROL_BYTES, list_roots, restart_vms
 from .rig import Rig
 from .sections import Fleet, Section, format_spread, scale_plan, start_fleet, sum_metric
 from .usage import Usage, compute_cpu_percent, read_usage
@@ -61,11 +61,6 @@
     }
 
 
-def list_roots(rig: Rig) -> set[str]:
-    """Return the nodes that ever took a zone-root lease."""
-    return {vm for vm, event in rig.read_node_events() if event.name == "lease-taken"}
-
-
 def format_cost(nodes: int, rest: Cost, per_change: Mapping[str, float], roots: set[str]) -> list:
     """Return the rows of the cost table: leaves and inner nodes, then roots."""
     rows = []
--- a/src/ibiswick/_internal/standins/measures.py
+++ b/src/ibiswick/_internal/standins/measures.py
@@ -13,6 +13,7 @@
 from .deployments import DEPLOYMENTS, Deployment
 from .measure_convergence import (
     HEADINGS,
+    list_roots,
     measure_changes,
     measure_disturbed,
     measure_endpoint,
@@ -21,7 +22,6 @@
 from .measure_latency import measure_latency
 from .measure_nodes import (
     format_cost,
-    list_roots,
     measure_bytes_per_change,
     measure_control_share,
     measure_mass_restart,
--- a/src/ibiswick/_internal/standins/rig.py
+++ b/src/ibiswick/_internal/standins/rig.py
@@ -84,6 +84,7 @@
         self.admin_port = next(self._ports)
         self.nodes = {node.vm: node for node in self._plan_nodes()}
         self._token = ""
+        self._launching = asyncio.Lock()
         self._http = httpx.AsyncClient(timeout=5.0, trust_env=False)
 
     async def __aenter__(self) -> Self:
@@ -144,8 +145,10 @@
         """Start the backend server beside a node unless it runs."""
         node = self.nodes[vm]
         backend = f"backend-{node.backend_vm}"
-        if backend not in self.processes or not self.processes[backend].running:
-            await self._launch(backend, "backend", self._build_backend_arguments(node))
+        async with self._launching:
+            # Nodes that share a backend server start at the same time.
+            if backend not in self.processes or not self.processes[backend].running:
+                await self._launch(backend, "backend", self._build_backend_arguments(node))
         await self._wait_listening(node.backend_port, backend)
 
     async def _launch_node(self, node: NodePlan) -> None:
@@ -288,6 +291,8 @@
 
     async def _launch(self, name: str, program: str, arguments: tuple[str, ...]) -> None:
         log = self.directory / f"{name}.log"
+        if name in self.processes and self.processes[name].running:
+            raise ProcessFailedError(f"{name} runs already")
         process = Process(name=name, program=program, arguments=arguments, log=log)
         self.processes[name] = process
         await process.start()
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -1,5 +1,6 @@
 """Test that the rig ends what it started and reads what its processes wrote."""
 
+import asyncio
 import os
 
 import pytest
@@ -43,6 +44,15 @@
         assert [work.request_id for work in read_ledgers(tmp_path)] == ["c1"]
 
 
+async def test_shared_backend_server_starts_once(tmp_path) -> None:
+    """Guard against a second process that the rig no longer knows and cannot end."""
+    plan = PLAN._replace(shared_backends=True)
+    async with Rig(plan=plan, directory=tmp_path) as rig:
+        await asyncio.gather(*(rig.start_backend(vm) for vm in rig.nodes))
+        log = (tmp_path / "backend-desk.log").read_text()
+    assert log.count("event=backend-started") == 1
+
+
 def test_availability_zones_and_ports_are_spread() -> None:
     nodes = list(Rig(plan=PLAN).nodes.values())
     assert [node.availability_zone for node in nodes] == ["z-1", "z-2", "z-1"]
