--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import itertools
+import os
 import random
-import secrets
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -136,7 +136,7 @@
         counts: CallCounts,
         upload_idle_s: float,
         rng: random.Random | None = None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] | None = None,
     ) -> None:
         self._workspace = workspace
         self._zone = availability_zone
@@ -145,13 +145,13 @@
         self._counts = counts
         self._upload_idle_s = upload_idle_s
         self._rng = rng or random.Random()
-        self._clock = clock
+        self._clock = clock or time.monotonic
         self._snapshot: Snapshot | None = None
         self._endpoints_version = -1
         self._table = RouteTable(())
         self._services: dict[str, ServiceState] = {}
         # Ids must differ from those of other nodes and of earlier processes on this VM.
-        self._id_prefix = secrets.token_hex(6).encode()
+        self._id_prefix = os.urandom(6).hex().encode()
         self._ids = itertools.count(1)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
