Close connections whose next request head does not arrive

A caller could hold a connection for ever by sending a head byte by byte, or by going on with the body of a refused upload. The keep-alive time of 60 s now also bounds both. uvicorn's own logger is left alone, because the administration API may share the process.

--- a/src/ibiswick/_internal/pool.py
+++ b/src/ibiswick/_internal/pool.py
@@ -309,9 +309,16 @@
         status = parser.get_status_code()
         if status < 200:
             return
-        if self._call_id is not None and (b"ibiswick-call", self._call_id) not in response.headers:
+        call_id = None
+        has_length = self._is_head or status in (204, 304)
+        for name, value in response.headers:
+            if name == b"content-length" or name == b"transfer-encoding":
+                has_length = True
+            elif name == b"ibiswick-call":
+                call_id = value
+        if self._call_id is not None and call_id != self._call_id:
             raise ValueError("the response belongs to another call")
-        if not self._is_head and status not in (204, 304) and not _has_length(response.headers):
+        if not has_length:
             # The end of such a body cannot be told from a lost connection.
             raise ValueError("the response has no length")
         response.status = status
@@ -723,10 +730,6 @@
     return max(0.0, limits.deadline - time.monotonic())
 
 
-def _has_length(headers: Headers) -> bool:
-    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
-
-
 class PoolFetch:
     """Send requests of a client to the origin of a URL, such as that of the platform."""
 
--- a/src/ibiswick/_internal/serving.py
+++ b/src/ibiswick/_internal/serving.py
@@ -37,6 +37,8 @@
 _REASONS = {400: b"Bad Request", 431: b"Request Header Fields Too Large", 501: b"Not Implemented"}
 
 _log = EventLog(component="serving")
+_quiet_logger = logging.getLogger("ibiswick.serving")
+_quiet_logger.setLevel(logging.CRITICAL)
 
 
 class AbortResponseError(Exception):
@@ -175,8 +177,14 @@
     check_client: CheckClient | None = None
     on_rejected: Callable[[str], None] | None = None
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        # Rejected requests are counted; uvicorn would log a line for each.
+        self.logger = _quiet_logger
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
+        self._await_request()
         check = type(self).check_client
         if check is not None and not check(transport.get_extra_info("peercert")):
             _log.warn("peer-refused", reason="certificate", client=self.client)
@@ -184,6 +192,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        super()._unset_keepalive_if_required()
         task, self.task = self.task, None
         if task is not None:
             # A task that has not begun to run would not remove itself.
@@ -254,7 +263,12 @@
     def data_received(self, data: bytes) -> None:
         if self.transport.is_closing():
             return
+        until = self.keep_alive_until
         super().data_received(data)
+        if until and (self.cycle is None or self.cycle.response_complete):
+            # The head is not complete yet, or the rest of a refused body is being discarded;
+            # neither may go on for ever.
+            self.keep_alive_until = until
 
     def send_400_response(self, msg: str) -> None:
         """Answer a request that the parser or this class has rejected, and close."""
@@ -312,8 +326,6 @@
 
     def _unset_keepalive_if_required(self) -> None:
         self.keep_alive_until = 0.0
-        if self.transport.is_closing():
-            super()._unset_keepalive_if_required()
 
     def on_response_complete(self) -> None:
         """Start the next pipelined request, or wait for one as long as keep-alive allows."""
@@ -323,6 +335,10 @@
         if self.pipeline:
             self._start_asgi_task(*self.pipeline.pop())
             return
+        self._await_request()
+
+    def _await_request(self) -> None:
+        """Close the connection unless the next head arrives in time."""
         self.keep_alive_until = time.monotonic() + self.timeout_keep_alive
         if self.timeout_keep_alive_task is None:
             self._arm_keep_alive(self.timeout_keep_alive)
@@ -400,8 +416,6 @@
 
     async def start(self) -> None:
         """Bind and listen; raise OSError."""
-        # Rejected requests are counted by this package; uvicorn would log a line for each.
-        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         self._socket = bind_socket(*self._address)
         self.port = self._socket.getsockname()[1]
         self._config.load()
--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -27,7 +27,7 @@
 from ibiswick._internal.records import Endpoint, Snapshot
 from ibiswick._internal.records import Phase as NodePhase
 from ibiswick._internal.retries import Outcome, RetryDecision
-from ibiswick._internal.serving import bind_socket
+from ibiswick._internal.serving import KEEP_ALIVE_S, bind_socket
 from ibiswick._internal.settings import Address, NodeSettings, PlatformSettings
 
 # Log lines of thousands of simulated calls would hide the result of a test.
@@ -498,3 +498,19 @@
     assert not board.backend.value.ready
     watcher.note_probe(draining=False)
     assert board.backend.value.ready
+
+
+def test_a_connection_without_a_complete_head_is_closed() -> None:
+    """Guard against callers that hold connections by sending heads byte by byte."""
+
+    async def main(loop: VirtualLoop) -> tuple[Client, float]:
+        mesh = Mesh(loop, [])
+        await mesh.start()
+        started = loop.time()
+        parts = [b"GET /status/0 HTTP/1.1\r\n", *([b"x-more: 1\r\n"] * 10)]
+        client = await request(loop, mesh.nodes[0].caller_port, *parts, pause_s=1.0)
+        return client, loop.time() - started
+
+    client, took_s = run_virtual(main)
+    assert client.status == 0
+    assert took_s < KEEP_ALIVE_S + 1.0
