--- a/src/ibiswick/_internal/standins/measures.py
+++ b/src/ibiswick/_internal/standins/measures.py
@@ -29,6 +29,7 @@
     median_of,
 )
 from .measure_policy import measure_policy
+from .measure_slopes import measure_slopes
 from .rig import cancel_on_signals
 from .sections import Section, list_percentiles, scale_plan, start_fleet
 from .tables import format_table
@@ -152,6 +153,7 @@
 
 
 _MEASUREMENTS: dict[str, Measurement] = {
+    "slopes": measure_slopes,
     "latency": _run_latency,
     "control-share": _run_control_share,
     "small-fleets": _run_small_fleets,
