--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -341,6 +341,37 @@
     await check_history(platform.store)
 
 
+async def test_refusal_on_top_of_a_lost_update_is_not_final() -> None:
+    """Guard against a refusal because of a change that was itself refused after a lost race."""
+    platform = FakePlatform()
+    other = build_acceptor(FakePlatform(platform.store))
+    template: dict[str, Any] = {"services": {"s": {}}}
+    await other.submit(ChangeRequest("c0", "a", templates={"t": template}))
+    base = await other.read_document("template", "t")
+    assert base is not None
+    rivals = [ChangeRequest("r", "a", templates={"t": {**template, "description": "new"}})]
+    original = platform.put
+
+    async def let_rival_win(key: str, value: Any, *, expected: int | None = None) -> int:
+        while key == "live/head" and rivals:
+            await other.submit(rivals.pop())
+        return await original(key, value, expected=expected)
+
+    platform.put = let_rival_win  # type: ignore[method-assign]
+    acceptor = build_acceptor(platform, gather_s=0.01)
+    workspace = {"templates": [{"template": "t"}], "routes": [ROUTE]}
+    first, second = await asyncio.gather(
+        acceptor.submit(
+            ChangeRequest("c1", "a", templates={"t": {}}, base={"template/t": base.digest})
+        ),
+        acceptor.submit(ChangeRequest("c2", "a", workspaces={"w": workspace})),
+        return_exceptions=True,
+    )
+    assert isinstance(first, ChangeConflictError)
+    assert isinstance(second, ChangeResult)
+    assert await check_history(platform.store) == {"c0": 1, "r": 2, "c2": 3}
+
+
 async def test_churn_in_one_workspace_does_not_delay_another() -> None:
     """Guard against a queue in which one workspace starves the others."""
     platform = FakePlatform()
