--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -89,6 +89,7 @@
         "maybe_ran",
         "method",
         "route",
+        "service",
         "target",
         "timed_out",
         "tried",
@@ -100,10 +101,12 @@
         method: str,
         target: bytes,
         route: Route,
+        service: ServiceState,
         head: RequestHead,
         body: RequestBody,
         deadline: float | None,
     ) -> None:
+        self.service = service
         self.method = method
         self.target = target
         self.route = route
@@ -194,7 +197,7 @@
             self._counts.add("ibiswick_calls_total", "result", call.code)
             await send_answer(send, call)
             return
-        service = self._services[call.route["service"]]
+        service = call.service
         service.budget.note_call()
         hedge_s = decide_hedge(
             idempotent=call.route["idempotent"],
@@ -224,6 +227,8 @@
         route = self._table.find(normalize_host(head.host), path, method)
         if route is None:
             return build_answer(404, "no-route", "no route matches the host, path and method")
+        # A new snapshot may remove the service while the body arrives.
+        service = self._services[route["service"]]
         now = self._clock()
         deadline = None
         is_upload = route["kind"] == "upload"
@@ -246,7 +251,13 @@
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
         return Call(
-            method=method, target=target, route=route, head=head, body=body, deadline=deadline
+            method=method,
+            target=target,
+            route=route,
+            service=service,
+            head=head,
+            body=body,
+            deadline=deadline,
         )
 
     def _refresh(self) -> None:
--- a/src/ibiswick/_internal/pool.py
+++ b/src/ibiswick/_internal/pool.py
@@ -28,6 +28,7 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 MAX_FETCH_BODY_BYTES = 64 * 1024 * 1024
 CONTINUE_STATUS = 100
+MAX_STATUS = 599
 SWEEP_INTERVAL_S = 1.0
 
 Headers = list[tuple[bytes, bytes]]
@@ -309,6 +310,8 @@
         status = parser.get_status_code()
         if status < 200:
             return
+        if status > MAX_STATUS:
+            raise ValueError(f"the status {status} does not exist")
         call_id = None
         has_length = self._is_head or status in (204, 304)
         for name, value in response.headers:
--- a/tests/test_call_sockets.py
+++ b/tests/test_call_sockets.py
@@ -344,6 +344,21 @@
     assert site.backend.heads == []
 
 
+async def test_a_call_survives_the_removal_of_its_service(site: Site) -> None:
+    """Guard against a crash when a snapshot removes the service while the body arrives."""
+    assert site.node is not None
+    reader, writer = await asyncio.open_connection("127.0.0.1", site.node.caller_port)
+    writer.write(b"POST /status HTTP/1.1\r\nhost: shop\r\ncontent-length: 4\r\n\r\nbo")
+    while not site.board.in_flight.value:
+        await site.board.in_flight.wait_change(site.board.in_flight.version)
+    await asyncio.sleep(0)
+    site.board.snapshot.set(Snapshot("yorgan", 2, "e", {}, ()))
+    assert (await site.call(GET)).status == 404
+    writer.write(b"dy")
+    assert (await reader.readuntil(b"\r\n")).split()[1] in (b"200", b"503")
+    writer.close()
+
+
 async def test_a_call_of_another_workspace_is_refused(site: Site) -> None:
     """Guard against a stale endpoint that leads into another workspace."""
     assert site.node is not None
@@ -459,6 +474,7 @@
         b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
         b"HTTP/1.1 101 Go\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
         b"nonsense\r\n\r\n",
+        b"HTTP/1.1 999 Odd\r\nibiswick-call: mine\r\ncontent-length: 2\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\nibiswick-call: other\r\ncontent-length: 2\r\n\r\nok",
     ],
 )
