--- a/src/ibiswick/_internal/pool.py
+++ b/src/ibiswick/_internal/pool.py
@@ -28,6 +28,7 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 MAX_FETCH_BODY_BYTES = 64 * 1024 * 1024
 CONTINUE_STATUS = 100
+MAX_STATUS = 599
 SWEEP_INTERVAL_S = 1.0
 
 Headers = list[tuple[bytes, bytes]]
@@ -309,9 +310,18 @@
         status = parser.get_status_code()
         if status < 200:
             return
-        if self._call_id is not None and (b"ibiswick-call", self._call_id) not in response.headers:
+        if status > MAX_STATUS:
+            raise ValueError(f"the status {status} does not exist")
+        call_id = None
+        has_length = self._is_head or status in (204, 304)
+        for name, value in response.headers:
+            if name == b"content-length" or name == b"transfer-encoding":
+                has_length = True
+            elif name == b"ibiswick-call":
+                call_id = value
+        if self._call_id is not None and call_id != self._call_id:
             raise ValueError("the response belongs to another call")
-        if not self._is_head and status not in (204, 304) and not _has_length(response.headers):
+        if not has_length:
             # The end of such a body cannot be told from a lost connection.
             raise ValueError("the response has no length")
         response.status = status
@@ -723,10 +733,6 @@
     return max(0.0, limits.deadline - time.monotonic())
 
 
-def _has_length(headers: Headers) -> bool:
-    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
-
-
 class PoolFetch:
     """Send requests of a client to the origin of a URL, such as that of the platform."""
 
