--- a/src/ibiswick/_internal/standins/documents.py
+++ b/src/ibiswick/_internal/standins/documents.py
@@ -29,6 +29,13 @@
         """Return the workspace's document."""
         return json.loads(next(self.directory.glob("workspaces/*.json")).read_text())
 
+    def set_parameter(self, name: str, value: Any) -> None:
+        """Set a parameter of the first template that the workspace uses."""
+        path = next(self.directory.glob("workspaces/*.json"))
+        document = json.loads(path.read_text())
+        document["templates"][0]["parameters"][name] = value
+        self._write(path, document, name)
+
     def _edit_parameter(self) -> str:
         path = next(self.directory.glob("workspaces/*.json"))
         document = json.loads(path.read_text())
--- a/src/ibiswick/_internal/standins/measure_policy.py
+++ b/src/ibiswick/_internal/standins/measure_policy.py
@@ -21,13 +21,16 @@
 
 class _Variant(NamedTuple):
     name: str
-    node_settings: dict[str, object]
+    slots: int | None = None
+    hedge_ms: int | None = None
 
 
 _VARIANTS = (
-    _Variant("as designed", {}),
+    _Variant("as designed"),
     # Slots far above what the backend server has leave its own queue and shedding in charge.
-    _Variant("no slot ownership", {"slots": 1000}),
+    _Variant("no slot ownership", slots=1000),
+    # Later than the deadline of the route, so that no call is ever hedged.
+    _Variant("no hedging", hedge_ms=100_000),
 )
 
 
@@ -36,7 +39,9 @@
     rows = []
     verdicts = []
     for variant in _VARIANTS:
-        async with start_fleet(_build_plan(deployment, variant), configuration) as fleet:
+        plan = _build_plan(deployment, variant)
+        parameters = _list_parameters(variant)
+        async with start_fleet(plan, configuration, parameters=parameters) as fleet:
             slow, lying = list(fleet.rig.nodes)[:2]
             await fleet.rig.set_backend_faults(slow, _SLOW)
             await fleet.rig.set_backend_faults(lying, _LYING)
@@ -57,15 +62,20 @@
 
 def _build_plan(deployment: Deployment, variant: _Variant) -> Plan:
     first, second = deployment.plan.services
-    return deployment.plan._replace(
+    plan = deployment.plan._replace(
         services=(
             first._replace(backend_servers=_SERVERS, service_ms=(("/", _SERVICE_MS),)),
             second._replace(backend_servers=1),
-        ),
-        node_settings=tuple(
-            {**dict(deployment.plan.node_settings), **variant.node_settings}.items()
-        ),
+        )
     )
+    if variant.slots is None:
+        return plan
+    return plan._replace(node_settings=(*plan.node_settings, ("slots", variant.slots)))
+
+
+def _list_parameters(variant: _Variant) -> dict[str, int]:
+    parameters = {"slots": variant.slots, "lookup_hedge_ms": variant.hedge_ms}
+    return {name: value for name, value in parameters.items() if value is not None}
 
 
 def _compute_capacity_per_s() -> float:
--- a/src/ibiswick/_internal/standins/measures.py
+++ b/src/ibiswick/_internal/standins/measures.py
@@ -141,6 +141,7 @@
     violations = itertools.chain.from_iterable(item.violations for item in section.verdicts)
     for violation in violations:
         sys.stdout.write(f"VIOLATION of promise {violation.promise}: {violation.detail}\n")
+        sys.stdout.writelines(f"    {item}\n" for item in violation.evidence)
     sys.stdout.write("\n")
     sys.stdout.flush()
 
--- a/src/ibiswick/_internal/standins/sections.py
+++ b/src/ibiswick/_internal/standins/sections.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import shutil
 import statistics
+import sys
+import time
 import uuid
 from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
 from pathlib import Path
@@ -19,6 +22,8 @@
 from .load import find_percentile
 from .rig import Plan, Rig
 
+_EVIDENCE = Path("build/evidence")
+
 
 class Section(NamedTuple):
     """Hold the table, the flat figures and the verdicts of one measurement."""
@@ -36,21 +41,21 @@
     def __init__(self, *, rig: Rig, configuration: Path) -> None:
         self.rig = rig
         self.calls: list[Call] = []
-        self._copy = WorkingCopy(source=configuration, directory=rig.directory / "configuration")
+        self.copy = WorkingCopy(source=configuration, directory=rig.directory / "configuration")
 
     async def apply(self) -> None:
         """Apply the working copy; return when it is in effect."""
-        await self.rig.control("apply", str(self._copy.directory))
+        await self.rig.control("apply", str(self.copy.directory))
 
     async def change(self, kind: EditKind) -> None:
         """Make and apply one change."""
-        self._copy.edit(kind)
+        self.copy.edit(kind)
         await self.apply()
 
     async def change_without_waiting(self) -> int:
         """Change a parameter and return the generation once it is accepted."""
-        self._copy.edit("parameter")
-        workspace = self._copy.read_workspace()
+        self.copy.edit("parameter")
+        workspace = self.copy.read_workspace()
         return await self.rig.submit_change(uuid.uuid4().hex, workspace)
 
     async def list_convergence(self, *, skip: int = 0) -> list[Convergence]:
@@ -59,8 +64,13 @@
         return list_convergence(history, self.rig.plan.workspace)[skip:]
 
     async def check(self) -> list[Verdict]:
-        """Check the promises on everything that happened up to now."""
-        return check_all(await collect_history(self.rig, self.calls))
+        """Check the promises on everything that happened; keep the evidence of violations."""
+        verdicts = check_all(await collect_history(self.rig, self.calls))
+        if any(verdict.violations for verdict in verdicts):
+            kept = _EVIDENCE / f"{int(time.time())}"
+            shutil.copytree(self.rig.directory, kept)
+            sys.stderr.write(f"violations found, logs and ledgers kept in {kept}\n")
+        return verdicts
 
 
 def scale_plan(deployment: Deployment, nodes: int, **settings: Any) -> Plan:
@@ -77,11 +87,18 @@
 
 
 @contextlib.asynccontextmanager
-async def start_fleet(plan: Plan, configuration: Path) -> AsyncIterator[Fleet]:
-    """Start a deployment, apply its configuration and wait until every node serves it."""
+async def start_fleet(
+    plan: Plan, configuration: Path, *, parameters: Mapping[str, Any] = MappingProxyType({})
+) -> AsyncIterator[Fleet]:
+    """Start a deployment, apply its configuration and wait until every node serves it.
+
+    `parameters` are set for the first template that the workspace uses.
+    """
     async with Rig(plan=plan) as rig:
         await rig.start()
         fleet = Fleet(rig=rig, configuration=configuration)
+        for name, value in parameters.items():
+            fleet.copy.set_parameter(name, value)
         await fleet.apply()
         await rig.wait_events("snapshot-applied", rig.nodes, timeout_s=60.0)
         yield fleet
