Test the control plane under faults and keep what they showed

A state machine of 6 nodes in two availability zones applies changes, kills, restarts, pauses, drains, platform faults, lost and reordered messages and cut links in any order; an oracle checks that no VM goes back, that content is whole, that a leaving member is not offered again, and that all nodes reach the head once the faults end. Mutated decisions must fail these checks.

--- a/src/ibiswick/_internal/agent.py
+++ b/src/ibiswick/_internal/agent.py
@@ -314,8 +314,7 @@
         self.root.peers.join(link, message, now)
 
     def _on_interest(self, link: Link, message: Interest, now: float) -> None:
-        if self._is_peer(link):
-            self.root.peers.take_interest(link, message, now)
+        self.root.peers.take_interest(link, message, now)
 
     def _on_generation_request(self, link: Link, message: GenerationRequest, now: float) -> None:
         if self._is_peer(link):
@@ -464,6 +463,8 @@
         self.parent.start(now)
 
     def _notice_snapshot(self, workspace: str, now: float) -> None:
+        # Its routes say which members the children need.
+        self.ctx.outbox.note(now)
         self.children.send_snapshots(workspace, now)
 
     @property
--- a/src/ibiswick/_internal/headreader.py
+++ b/src/ibiswick/_internal/headreader.py
@@ -68,6 +68,8 @@
         self._manifest_asked = False
         self.read_since_start = False
         self._fetching.clear()
+        # The snapshots of other workspaces went with the last term of the role.
+        self._settled.clear()
         self._revision = max(self._revision, min_revision)
         self._retry_at = now
 
--- a/src/ibiswick/_internal/peers.py
+++ b/src/ibiswick/_internal/peers.py
@@ -88,6 +88,12 @@
 
     def take_interest(self, link: Link, message: Interest, now: float) -> None:
         """Take the workspaces that another root carries; new ones need a complete view."""
+        pending = self._pending.get(link.number)
+        if pending is not None:
+            self._pending[link.number] = pending._replace(interests=message.workspaces)
+            return
+        if not link.established or link.role is not Role.PEER:
+            return
         interests = frozenset(message.workspaces)
         if interests - link.interests:
             link.full_due = True
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -38,6 +38,7 @@
 
 LATENCY_S = 0.001
 CONNECT_TIMEOUT_S = 3.0
+SLOW_WATCH_S = 5.0
 RECENT = 16
 # Messages whose loss, repetition or reordering must be harmless; the rest rely on the order of TCP.
 UNORDERED = (DeltaSnapshot, Floor, FloorRequest, FullSnapshot, Heartbeat, Members)
@@ -139,6 +140,7 @@
         self.lose_answers = 0.0
         self.stale_gets = 0.0
         self.watch_lag_s = 0.0
+        self.slow_watches: set[str] = set()
         self.disorder = 0.0
         self.cuts: set[tuple[str, str]] = set()
         self.accepted: dict[tuple[str, int], str] = {}
@@ -244,6 +246,7 @@
         self.set_platform_down(False)
         self.lose_answers = self.stale_gets = self.watch_lag_s = self.disorder = 0.0
         self.cuts.clear()
+        self.slow_watches.clear()
         for node in self.nodes.values():
             node.paused_until = min(node.paused_until, self.now)
 
@@ -416,6 +419,7 @@
             if listing.objects:
                 self._watches.remove(watch)
                 lag = self.random.uniform(0.0, self.watch_lag_s)
+                lag += SLOW_WATCH_S if node.vm in self.slow_watches else 0.0
                 self._answer(node, life, action.call, listing, delay_s=LATENCY_S + lag)
 
     def _call(self, node: Node, action: CallPlatform) -> None:
--- /dev/null
+++ b/tests/test_control_machine.py
@@ -0,0 +1,353 @@
+"""Run nodes under faults against an oracle; the real state machines, with simulated edges."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import Phase
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from ibiswick._internal import agent, configuration, context, headreader, membership, root
+from ibiswick._internal.records import MemberState
+from ibiswick._internal.snapshots import ApplyDecision, ApplyOutcome
+from simulation import World
+
+ZONES = ("ege-bir", "ege-iki")
+WORKSPACES = ("yorgan", "bakony")
+VMS = tuple(f"vm-{number}" for number in range(6))
+# After the last fault: silence, a lease that expires, directory back-off and member retention.
+RECOVERY_S = 75.0
+LEAVE_BOUND_S = 3.0
+FAULTS = (0.0, 0.3)
+
+
+def check_converged(world: World) -> None:
+    """Check promise 9 and that endpoint lists name exactly the running members."""
+    for node in world.list_alive():
+        if node.board.drain.value:
+            continue
+        workspace = node.settings.workspace
+        snapshot = node.board.snapshot.value
+        assert snapshot is not None, f"{node.vm} has no snapshot"
+        assert snapshot.generation == world.snapshots[workspace].generation
+        offered = {e.vm for e in node.board.endpoints.value["dukkan-masa"]}
+        running = {
+            other.vm
+            for other in world.list_alive()
+            if other.settings.workspace == workspace and not other.board.drain.value
+        }
+        assert offered == running, f"{node.vm} offers {offered}, running are {running}"
+
+
+class ControlMachine(RuleBasedStateMachine):
+    """Apply changes and faults in any order."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed: int) -> None:
+        self.world = World(seed=seed)
+        for number, vm in enumerate(VMS):
+            self.world.add_node(
+                vm,
+                availability_zone=ZONES[number % 2],
+                workspace=WORKSPACES[number // 4],
+                root_degree=1,
+                degree=1,
+            )
+        self.world.change(*WORKSPACES)
+        self.world.run(5.0)
+
+    @rule(seconds=st.sampled_from((0.005, 0.3, 2.0, 7.0)))
+    def wait(self, seconds: float) -> None:
+        self.world.run(seconds)
+
+    @rule(workspace=st.sampled_from(WORKSPACES))
+    def change(self, workspace: str) -> None:
+        self.world.change(workspace)
+        self.world.run(0.01)
+
+    @rule(vm=st.sampled_from(VMS), silent=st.booleans())
+    def kill(self, vm: str, silent: bool) -> None:
+        self.world.kill(vm, silent=silent)
+
+    @rule(vm=st.sampled_from(VMS))
+    def restart(self, vm: str) -> None:
+        self.world.restart(vm)
+        self.world.run(0.3)
+
+    @rule()
+    def restart_all(self) -> None:
+        for vm in VMS:
+            self.world.restart(vm)
+
+    @rule(vm=st.sampled_from(VMS), seconds=st.sampled_from((1.0, 8.0)))
+    def pause(self, vm: str, seconds: float) -> None:
+        self.world.pause(vm, seconds)
+
+    @rule(down=st.booleans())
+    def switch_platform(self, down: bool) -> None:
+        self.world.set_platform_down(down)
+
+    @rule(lost=st.sampled_from(FAULTS), stale=st.sampled_from(FAULTS), lag=st.sampled_from((0, 3)))
+    def disturb_platform(self, lost: float, stale: float, lag: float) -> None:
+        self.world.lose_answers, self.world.stale_gets, self.world.watch_lag_s = lost, stale, lag
+
+    @rule(disorder=st.sampled_from(FAULTS))
+    def disturb_messages(self, disorder: float) -> None:
+        self.world.disorder = disorder
+
+    @rule(pair=st.sampled_from((ZONES, ZONES[::-1])), both=st.booleans())
+    def cut(self, pair: tuple[str, str], both: bool) -> None:
+        self.world.cut(*pair)
+        if both:
+            self.world.cut(*pair[::-1])
+
+    @rule()
+    def mend(self) -> None:
+        self.world.cuts.clear()
+
+    @rule(vm=st.sampled_from(VMS))
+    def drain(self, vm: str) -> None:
+        if self.world.nodes[vm].alive:
+            self.world.request_drain(vm)
+
+    @invariant()
+    def check_promises(self) -> None:
+        if hasattr(self, "world"):
+            assert not self.world.violations
+
+    def teardown(self) -> None:
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.heal()
+        for node in world.nodes.values():
+            if node.alive and node.board.drain.value:
+                world.kill(node.vm)
+            if not node.alive:
+                node.boot()
+        world.run(RECOVERY_S)
+        assert not world.violations
+        check_converged(world)
+
+
+ControlMachine.TestCase.settings = hypothesis_settings(max_examples=25, stateful_step_count=25)
+TestControlMachine = ControlMachine.TestCase
+
+
+def build_world(count: int = 6, **changes) -> World:
+    world = World(seed=1)
+    for number in range(count):
+        world.add_node(f"vm-{number}", **changes)
+    world.change("yorgan")
+    world.run(10.0)
+    return world
+
+
+def find_root(world: World):
+    return next(node for node in world.list_alive() if node.agent.ctx.is_root)
+
+
+def run_restart_behind(world: World) -> None:
+    """Restart nodes when only a root that has not seen the newest head is left to join."""
+    for _ in range(4):
+        roots = [node for node in world.list_alive() if node.agent.ctx.is_root]
+        behind = min(roots, key=lambda node: node.agent.children.count())
+        world.slow_watches = {behind.vm}
+        world.change("yorgan")
+        world.run(1.0)
+        for node in world.list_alive():
+            if node is not behind:
+                world.restart(node.vm)
+        world.run(8.0)
+    assert not world.violations
+
+
+def run_late_snapshots(world: World) -> None:
+    """Let whole snapshots arrive after newer ones."""
+    world.disorder = 0.8
+    for step in range(20):
+        world.restart(f"vm-{step % 6}")
+        for _ in range(3):
+            world.run(0.5)
+            world.change("yorgan")
+    assert not world.violations
+
+
+def check_not_offered(world: World, vm: str) -> None:
+    for node in world.list_alive():
+        offered = {e.vm for e in node.board.endpoints.value.get("dukkan-masa", ())}
+        assert vm not in offered
+
+
+def run_leave(world: World) -> None:
+    """Drain a node; check that it is out within the bound and stays out under faults."""
+    leaving = next(node for node in world.list_alive() if not node.agent.ctx.is_root)
+    leaving.board.drain.set(True)
+    world.run(LEAVE_BOUND_S)
+    check_not_offered(world, leaving.vm)
+    world.disorder = 0.3
+    for node in world.list_alive():
+        if node is not leaving:
+            world.restart(node.vm)
+            world.run(7.0)
+            check_not_offered(world, leaving.vm)
+    assert not world.violations
+
+
+def run_silent_leaf(world: World) -> None:
+    """Stop a node that is no root and has no children, without a word."""
+    leaf = next(
+        node
+        for node in world.list_alive()
+        if not node.agent.ctx.is_root and not node.agent.children.count()
+    )
+    world.kill(leaf.vm, silent=True)
+    world.run(RECOVERY_S)
+    check_converged(world)
+
+
+def run_unaware_root(world: World) -> None:
+    """Let a paused root lose its lease, wake up and send out what it had not processed."""
+    for _ in range(4):
+        paused = find_root(world)
+        world.pause(paused.vm, 9.0)
+        world.change("yorgan")
+        world.run(12.0)
+        world.change("yorgan")
+        world.run(3.0)
+    assert not world.violations
+    world.run(RECOVERY_S)
+    check_converged(world)
+
+
+def run_recovery(world: World) -> None:
+    for vm in ("vm-0", "vm-1", "vm-2"):
+        world.kill(vm, silent=True)
+    world.change("yorgan")
+    world.run(RECOVERY_S)
+    check_converged(world)
+
+
+SCENARIOS = (
+    run_restart_behind,
+    run_late_snapshots,
+    run_leave,
+    run_silent_leaf,
+    run_unaware_root,
+    run_recovery,
+)
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.__name__)
+def test_scenarios_keep_the_promises(scenario):
+    """Guard against the faults that the mutations below need to show up."""
+    scenario(build_world())
+
+
+def apply_any(current, offered, *, floor):
+    return ApplyDecision(ApplyOutcome.APPLIED)
+
+
+def offer_everyone(members, *, workspace, services):
+    changed = [member._replace(state=MemberState.READY) for member in members]
+    return membership.build_endpoints(changed, workspace=workspace, services=services)
+
+
+def set_no_floor(self, floor, rule):
+    configuration_set_floor(self, 0, rule)
+
+
+configuration_set_floor = configuration.Configuration.set_floor
+
+MUTATIONS = {
+    "apply any generation that differs": (
+        configuration,
+        "decide_apply",
+        apply_any,
+        run_late_snapshots,
+    ),
+    "ignore the floor": (
+        configuration.Configuration,
+        "set_floor",
+        set_no_floor,
+        run_restart_behind,
+    ),
+    "offer leaving members": (agent, "build_endpoints", offer_everyone, run_leave),
+    "never expire a lease": (
+        root.LeaseKeeper,
+        "_is_expired",
+        lambda self, seen, now: seen.lease is None,
+        run_recovery,
+    ),
+    "drop a head that arrives while gathering": (
+        headreader.SendGate,
+        "note",
+        lambda self, now, **_: None,
+        run_recovery,
+    ),
+    "never close a silent link": (
+        agent.Agent,
+        "_check_links",
+        lambda self, now: [
+            self._send_heartbeat(link, now) for link in list(self.ctx.list_links(*context.Role))
+        ],
+        run_silent_leaf,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_wrong_decisions_are_caught(name, monkeypatch):
+    """Guard against scenarios that pass whatever the nodes decide."""
+    owner, attribute, wrong, scenario = MUTATIONS[name]
+    monkeypatch.setattr(owner, attribute, wrong)
+    with pytest.raises(AssertionError):
+        scenario(build_world())
+
+
+def test_machine_catches_a_mutation(monkeypatch):
+    """Guard against a state machine that passes whatever the nodes decide."""
+    monkeypatch.setattr(agent, "build_endpoints", offer_everyone)
+    # The first failure is enough; making it smaller takes minutes.
+    limits = hypothesis_settings(max_examples=25, stateful_step_count=25, phases=(Phase.generate,))
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(ControlMachine, settings=limits)
+
+
+def test_mass_restart_stays_within_its_budgets():
+    """Guard against a mass restart that overloads the platform or a root."""
+    rate = 5.0
+    world = build_world(40, join_rate_per_s=rate, directory_jitter_s=10.0)
+    world.calls.clear()
+    world.joins.clear()
+    for vm in list(world.nodes):
+        world.restart(vm)
+    world.run(60.0)
+    check_converged(world)
+    share = find_root(world).settings.platform.calls_per_s
+    assert max(world.calls.values()) <= share
+    admitted = sum(node.events["joined"] for node in world.nodes.values())
+    assert admitted >= len(world.nodes) - 2
+
+
+def test_admissions_keep_their_rate():
+    """Guard against a root that admits every node of a mass restart at once."""
+    rate = 2.0
+    world = World(seed=3)
+    world.add_node("vm-root", join_rate_per_s=rate)
+    world.run(5.0)
+    for number in range(30):
+        world.add_node(f"vm-{number}", join_rate_per_s=rate, root_degree=64, root_eligible=False)
+    node = world.nodes["vm-root"]
+    for second in range(1, 10):
+        world.run(1.0)
+        assert node.agent.children.count() <= rate * (second + 1)
+    world.run(60.0)
+    assert node.agent.ctx.is_root
