--- a/src/ibiswick/_internal/balance.py
+++ b/src/ibiswick/_internal/balance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from .records import Endpoint, ServicePolicy
@@ -12,9 +12,13 @@
 LOAD_FRESH_S = 1.0
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY_S = 0.005
+# The typical latency of a service changes more slowly than that of one endpoint.
+TYPICAL_LATENCY_WEIGHT = 0.05
 # Differences below this come from the measurement, not from the backend server.
 LATENCY_FLOOR_S = 0.001
 SLOW_START_MIN_WEIGHT = 0.1
+# An endpoint that fails at once is always idle, so without a penalty it would attract every call.
+FAILURE_PENALTY_LIMIT = 8
 # Load per slot at which endpoints of other availability zones are considered as well.
 SPILL_LOAD = 1.0
 EJECT_AFTER_FAILURES = 3
@@ -73,6 +77,7 @@
         self._slots_limit = 1
         self._slow_start_s = 0.0
         self._local_first = True
+        self.typical_latency_s = INITIAL_LATENCY_S
 
     @property
     def states(self) -> tuple[EndpointState, ...]:
@@ -117,7 +122,7 @@
             self._local, self._remote = active, []
 
     def choose(
-        self, *, now: float, rng: random.Random, exclude: frozenset[EndpointState] = frozenset()
+        self, *, now: float, rng: random.Random, exclude: tuple[EndpointState, ...] = ()
     ) -> EndpointState | None:
         """Choose an endpoint for the next attempt; one in `exclude` only if there is no other."""
         chosen = self._pick(self._local, now, rng, exclude)
@@ -136,7 +141,7 @@
         states: list[EndpointState],
         now: float,
         rng: random.Random,
-        exclude: frozenset[EndpointState],
+        exclude: tuple[EndpointState, ...],
     ) -> EndpointState | None:
         if exclude:
             states = [state for state in states if state not in exclude]
@@ -164,7 +169,8 @@
         if self._slow_start_s > 0:
             age = (now - state.first_seen) / self._slow_start_s
             weight = min(1.0, max(SLOW_START_MIN_WEIGHT, age))
-        return load * max(state.latency_s, LATENCY_FLOOR_S) / weight
+        penalty = 1 + min(state.failures, FAILURE_PENALTY_LIMIT)
+        return load * max(state.latency_s, LATENCY_FLOOR_S) * penalty / weight
 
     def note_load(self, state: EndpointState, load: int, *, now: float) -> None:
         """Keep the load that the endpoint's node reported."""
@@ -173,10 +179,19 @@
 
     def note_success(self, state: EndpointState, *, latency_s: float) -> None:
         """Note an answer of the backend server."""
-        state.latency_s += LATENCY_WEIGHT * (latency_s - state.latency_s)
+        self._note_latency(state, latency_s)
         state.failures = 0
         state.ejections = 0
 
+    def note_abandoned(self, state: EndpointState, *, latency_s: float) -> None:
+        """Note an attempt that was given up; it would have taken at least that long."""
+        if latency_s > state.latency_s:
+            self._note_latency(state, latency_s)
+
+    def _note_latency(self, state: EndpointState, latency_s: float) -> None:
+        state.latency_s += LATENCY_WEIGHT * (latency_s - state.latency_s)
+        self.typical_latency_s += TYPICAL_LATENCY_WEIGHT * (latency_s - self.typical_latency_s)
+
     def note_failure(self, state: EndpointState, *, now: float, reason: str) -> HealthChange | None:
         """Note a failed attempt; eject the endpoint after several in a row."""
         state.failures += 1
@@ -193,16 +208,16 @@
         self._partition()
         return HealthChange("ejected", state.endpoint, reason, period_s)
 
-    def readmit(self, *, now: float) -> list[HealthChange]:
+    def readmit(self, *, now: float) -> Sequence[HealthChange]:
         """Readmit the endpoints whose period has passed.
 
         One more failure ejects such an endpoint again, because its failures are not forgotten.
         """
         if not self._ejected:
-            return []
+            return ()
         due = [state for state in self._ejected if state.ejected_until <= now]
         if not due:
-            return []
+            return ()
         self._ejected = [state for state in self._ejected if state.ejected_until > now]
         self._partition()
         return [HealthChange("readmitted", s.endpoint, "period-passed", 0.0) for s in due]
--- a/src/ibiswick/_internal/dataplane.py
+++ b/src/ibiswick/_internal/dataplane.py
@@ -23,6 +23,7 @@
 from .settings import NodeSettings
 from .tls import build_client_context, build_server_context, parse_identity
 
+METRICS_FORMAT = "text/plain"
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 1.0
 UNREADY_AFTER_FAILURES = 3
@@ -89,7 +90,9 @@
 class DataPlane:
     """Carry calls for one node."""
 
-    def __init__(self, *, settings: NodeSettings, board: Blackboard) -> None:
+    def __init__(
+        self, *, settings: NodeSettings, board: Blackboard, rng: random.Random | None = None
+    ) -> None:
         self._settings = settings
         self._board = board
         self._counts = CallCounts()
@@ -118,7 +121,7 @@
             exchange=self._peers.exchange,
             counts=self._counts,
             upload_idle_s=settings.upload_idle_s,
-            rng=random.Random(),
+            rng=rng or random.Random(),
         )
         self._inbound = Inbound(
             workspace=settings.workspace,
@@ -283,7 +286,7 @@
         plain = {"content-type": "text/plain"}
         if path == "/metrics":
             self._export_metrics()
-            body, headers = render_metrics()
+            body, headers = render_metrics(METRICS_FORMAT)
             return 200, headers, body
         if path == "/ready":
             phase = self._board.phase.value
--- a/src/ibiswick/_internal/heads.py
+++ b/src/ibiswick/_internal/heads.py
@@ -164,10 +164,11 @@
     >>> parse_load(b"3,0") is None
     True
     """
-    parts = value.split(b",")
-    if len(parts) != 3 or len(value) > 30 or not all(part.isdigit() for part in parts):
+    try:
+        in_flight, queued, slots = value[:30].split(b",")
+        return Load(int(in_flight), int(queued), int(slots))
+    except ValueError:
         return None
-    return Load(int(parts[0]), int(parts[1]), int(parts[2]))
 
 
 class ResponseHead(NamedTuple):
@@ -208,3 +209,15 @@
     if head.length is not None:
         return b"content-length: %d\r\n" % head.length
     return b""
+
+
+def find_retry_after(headers: Headers) -> float:
+    """Return the seconds in a `Retry-After` header, or one.
+
+    >>> find_retry_after([(b"retry-after", b"3")]), find_retry_after([])
+    (3.0, 1.0)
+    """
+    for name, value in headers:
+        if name == b"retry-after" and value.isdigit():
+            return float(value[:6])
+    return 1.0
