--- a/src/ibiswick/_internal/agent.py
+++ b/src/ibiswick/_internal/agent.py
@@ -394,16 +394,13 @@
             return
         closer = link.role is Role.CHILD
         if self.ctx.table.merge(member, via=link.number, now=now, closer=closer):
-            urgent = member.state is MemberState.LEAVING
-            self.ctx.outbox.note(now, at_once=urgent)
-            self._endpoints_gate.note(now, at_once=urgent)
+            self.ctx.outbox.note(now, at_once=member.state is MemberState.LEAVING)
 
     def _remove(self, link: Link, removal: Any, now: float) -> None:
         if removal.vm == self.ctx.own.vm:
             self.ctx.announce(now)
         elif self.ctx.table.remove(removal, via=link.number, now=now):
             self.ctx.outbox.note(now)
-            self._endpoints_gate.note(now)
         elif link.role is Role.PARENT and self._is_below(removal.vm):
             # The retraction is from an earlier way to a member that is now below this node.
             self.ctx.table.repeat(removal.vm)
@@ -433,7 +430,6 @@
     def _begin_leave(self, now: float) -> None:
         self.ctx.leaving = True
         self.ctx.announce(now, MemberState.LEAVING)
-        self._endpoints_gate.note(now, at_once=True)
         self.ctx.log("info", "leaving-announced", vm=self.ctx.own.vm)
         self._leave_at = now + self._settings.leave_notice_s
         self._flush(now)
@@ -646,8 +642,10 @@
         if state == self._endpoints_of:
             self._endpoints_gate.due = None
             return
-        if self._endpoints_gate.due is None:
-            self._endpoints_gate.note(now)
+        changed = self.ctx.table.list_changes(self._endpoints_of[0])
+        urgent = any(entry.member.state is MemberState.LEAVING for entry in changed)
+        if urgent or self._endpoints_gate.due is None:
+            self._endpoints_gate.note(now, at_once=urgent)
         if not self._endpoints_gate.take(now):
             return
         self._endpoints_of = state
