--- a/src/ibiswick/_internal/control.py
+++ b/src/ibiswick/_internal/control.py
@@ -15,7 +15,12 @@
 from .agent import Agent
 from .blackboard import Blackboard
 from .context import Role
-from .errors import IbiswickError, MessageError
+from .errors import (
+    IbiswickError,
+    MessageError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
 from .links import WebSocketLink, serve_links
 from .logs import EventLog
 from .messages import Message
@@ -70,6 +75,7 @@
         self._timer_at = 0.0
         self._metrics_at = 0.0
         self._stopped = False
+        self._platform_available = True
         tls = settings.tls
         self._client_context = None if tls is None else build_client_context(tls)
         self._server_context = None if tls is None else build_server_context(tls)
@@ -219,9 +225,21 @@
             result = await getattr(self._platform, action.method)(**action.arguments)
         except IbiswickError as error:
             result = error
+        self._note_platform(result)
         self.agent.finish_call(action.call, result, self._clock())
         self._finish_event()
 
+    def _note_platform(self, result: Any) -> None:
+        """Log when the platform stops answering and when it answers again."""
+        available = not isinstance(result, PlatformUnavailableError)
+        if available == self._platform_available or isinstance(result, OutcomeUnknownError):
+            return
+        self._platform_available = available
+        if available:
+            self._log.info("platform-available")
+        else:
+            self._log.warn("platform-unavailable", detail=result.detail)
+
     def _make_server_link(self) -> WebSocketLink:
         self._last_accepted += 2
         link = WebSocketLink(self, number=self._last_accepted, is_client=False)
@@ -277,6 +295,7 @@
             "ibiswick_control_children": sum(1 for _ in ctx.list_links(Role.CHILD)),
             "ibiswick_control_members": len(ctx.table),
             "ibiswick_control_root": int(ctx.is_root),
+            "ibiswick_platform_available": int(self._platform_available),
             "ibiswick_control_connected": int(bool(ctx.own_path)),
             "ibiswick_snapshot_generation": self.agent.configuration.generation,
         }
--- a/src/ibiswick/_internal/floors.py
+++ b/src/ibiswick/_internal/floors.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from .records import Head, Lease, Manifest
+from .records import Head, Lease, Manifest, Snapshot
+from .snapshots import build_snapshot
 
 RULE_HEAD = "head"
 RULE_ROOTS = "roots"
@@ -61,12 +62,28 @@
         self.generation = head["generation"]
         return {name for name, value in self.workspaces.items() if old.get(name) != value}
 
+    def find(self, workspace: str) -> WorkspaceVersion | None:
+        """Return the version of a workspace's snapshot, or None before the first head.
+
+        A workspace that the manifest does not list has an empty snapshot: its nodes may still hold
+        one from before the workspace was deleted, which must not stay in effect.
+        """
+        if workspace not in self.workspaces and self.generation > 0:
+            empty = build_empty_snapshot(workspace, generation=self.generation)
+            self.workspaces[workspace] = WorkspaceVersion(empty.generation, empty.digest)
+        return self.workspaces.get(workspace)
+
     def get_generation(self, workspace: str) -> int:
-        """Return the generation of a workspace's snapshot; 0 when it has none."""
-        version = self.workspaces.get(workspace)
+        """Return the generation of a workspace's snapshot; 0 before the first head."""
+        version = self.find(workspace)
         return 0 if version is None else version.generation
 
 
+def build_empty_snapshot(workspace: str, *, generation: int) -> Snapshot:
+    """Build the snapshot of a workspace that does not exist."""
+    return build_snapshot(workspace=workspace, generation=generation, services={}, routes=())
+
+
 def confirm_by_roots(
     directory: Mapping[int, Lease], answers: Mapping[str, int], *, own_vm: str, own: int
 ) -> int | None:
--- a/src/ibiswick/_internal/headreader.py
+++ b/src/ibiswick/_internal/headreader.py
@@ -9,7 +9,7 @@
 
 from .context import Context
 from .errors import IbiswickError, SnapshotError
-from .floors import HeadIndex, WorkspaceVersion
+from .floors import HeadIndex, WorkspaceVersion, build_empty_snapshot
 from .platform import Listing, StoredObject
 from .records import Head, Manifest, Snapshot
 from .relay import SendGate
@@ -229,7 +229,7 @@
 
     def _fetch(self, now: float) -> None:
         for workspace in sorted(self._list_carried()):
-            version = self.index.workspaces.get(workspace)
+            version = self.index.find(workspace)
             if version is None or workspace in self._fetching:
                 continue
             if self._settled.get(workspace) == version:
@@ -242,6 +242,10 @@
                     workspace, version, current._replace(generation=version.generation), now
                 )
                 continue
+            empty = build_empty_snapshot(workspace, generation=version.generation)
+            if version.digest == empty.digest:
+                self._settle(workspace, version, empty, now)
+                continue
             self._fetch_blob(workspace, version)
 
     def _fetch_blob(self, workspace: str, version: WorkspaceVersion) -> None:
