Test restarts without the platform and slow peers

With the platform down a restarted node must find its floor through every listed root, and must wait when one of them is gone. A link to a peer that does not read must close instead of queueing.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,7 +11,13 @@
 from fakes import FakePlatform
 from ibiswick._internal.blackboard import Blackboard
 from ibiswick._internal.control import ControlPlane
-from ibiswick._internal.messages import PROTOCOL_VERSION, Join, encode_message
+from ibiswick._internal.links import MAX_QUEUED_BYTES, WebSocketLink
+from ibiswick._internal.messages import (
+    PROTOCOL_VERSION,
+    FullSnapshot,
+    Join,
+    encode_message,
+)
 from ibiswick._internal.records import Phase
 from ibiswick._internal.settings import Address
 from ibiswick._internal.snapshots import build_snapshot, encode_snapshot
@@ -120,3 +126,15 @@
     await node.plane.start()
     await node.plane.stop()
     assert not platform.calls
+
+
+async def test_a_peer_that_does_not_read_is_closed():
+    """Guard against memory that grows with a peer's slowness."""
+    link = WebSocketLink(None, number=1, is_client=True)
+    message = FullSnapshot("yorgan", 1, "d" * 200, {}, ())
+    count = 0
+    while not link.reason:
+        link.send(message)
+        count += 1
+        assert count < MAX_QUEUED_BYTES
+    assert link.reason == "slow peer"
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -16,6 +16,7 @@
 
 from ibiswick._internal import agent, configuration, context, headreader, membership, root
 from ibiswick._internal.records import MemberState
+from ibiswick._internal.settings import Address
 from ibiswick._internal.snapshots import ApplyDecision, ApplyOutcome
 from simulation import World
 
@@ -351,3 +352,24 @@
         assert node.agent.children.count() <= rate * (second + 1)
     world.run(60.0)
     assert node.agent.ctx.is_root
+
+
+def test_restart_while_the_platform_is_down():
+    """Guard against a floor without every listed root, and against waiting without need."""
+    # The directory cannot be read, so only seeds lead to the tree.
+    seeds = tuple(Address(f"10.0.0.{number}", 7000) for number in (2, 3, 4))
+    world = build_world(seeds=seeds)
+    leaves = [node for node in world.list_alive() if not node.agent.ctx.is_root]
+    world.set_platform_down(True)
+    world.restart(leaves[0].vm)
+    world.run(10.0)
+    assert leaves[0].board.floor_confirmed.value
+    # With one listed root gone nobody knows what it had sent out.
+    world.kill(find_root(world).vm)
+    world.restart(leaves[1].vm)
+    world.run(20.0)
+    assert not leaves[1].board.floor_confirmed.value
+    assert leaves[0].board.floor_confirmed.value
+    world.set_platform_down(False)
+    world.run(RECOVERY_S)
+    check_converged(world)
