Check applied content by its own digest and add mutations

The admission test ran with a root degree that hid a missing admission; a mutation showed it, and the degree is now out of the way. New mutations: a delta applied to any base, every join admitted, directory reads without back-off.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -312,7 +312,7 @@
     def _log(self, node: Node, action: Log) -> None:
         node.events[action.event] += 1
         if action.event == "snapshot-applied":
-            self._check_applied(node, action.fields["generation"], action.fields["digest"])
+            self._check_applied(node, action.fields["generation"])
 
     # Links
 
@@ -485,11 +485,19 @@
 
     # Oracle
 
-    def _check_applied(self, node: Node, generation: int, digest: str) -> None:
+    def _check_applied(self, node: Node, generation: int) -> None:
         """Check promises 1 and 3: never an older generation, never unaccepted content."""
         newest = max((applied for applied, _ in node.applied), default=0)
         if generation < newest:
             self.violations.append(f"{node.vm} went back from {newest} to {generation}")
+        held = node.board.snapshot.value
+        # The digest is computed from the content, because a node may state any.
+        digest = build_snapshot(
+            workspace=held.workspace,
+            generation=generation,
+            services=held.services,
+            routes=held.routes,
+        ).digest
         if self.accepted.get((node.settings.workspace, generation)) != digest:
             self.violations.append(f"{node.vm} applied unaccepted content as {generation}")
         node.applied.append((generation, digest))
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -14,7 +14,17 @@
     run_state_machine_as_test,
 )
 
-from ibiswick._internal import agent, configuration, context, headreader, membership, root
+from ibiswick._internal import (
+    agent,
+    children,
+    configuration,
+    context,
+    headreader,
+    membership,
+    parent,
+    root,
+    snapshots,
+)
 from ibiswick._internal.records import MemberState
 from ibiswick._internal.settings import Address
 from ibiswick._internal.snapshots import ApplyDecision, ApplyOutcome
@@ -236,6 +246,28 @@
     check_converged(world)
 
 
+def run_admissions(_: World) -> None:
+    """Let 30 nodes join one root at the same time."""
+    rate = 2.0
+    world = World(seed=3)
+    node = world.add_node("vm-root", join_rate_per_s=rate, root_degree=64)
+    world.run(5.0)
+    for number in range(30):
+        world.add_node(f"vm-{number}", join_rate_per_s=rate, root_eligible=False)
+    for second in range(1, 10):
+        world.run(1.0)
+        assert node.agent.children.count() <= rate * (second + 1)
+
+
+def run_lonely_start(_: World) -> None:
+    """Start nodes that may not become roots in a zone without one."""
+    world = World(seed=3)
+    for number in range(5):
+        world.add_node(f"vm-{number}", root_eligible=False)
+    world.run(30.0)
+    assert max(world.calls.values()) <= 3
+
+
 SCENARIOS = (
     run_restart_behind,
     run_late_snapshots,
@@ -243,6 +275,8 @@
     run_silent_leaf,
     run_unaware_root,
     run_recovery,
+    run_admissions,
+    run_lonely_start,
 )
 
 
@@ -267,48 +301,68 @@
 
 configuration_set_floor = configuration.Configuration.set_floor
 
+
+def apply_newer(current, offered, *, floor):
+    newer = current is None or offered.generation > current.generation
+    return ApplyDecision(ApplyOutcome.APPLIED if newer else ApplyOutcome.IGNORED)
+
+
+def apply_to_any_base(base, delta):
+    return snapshots.apply_delta(base, delta._replace(base_digest=base.digest))
+
+
+def send_heartbeats_only(self, now):
+    for link in list(self.ctx.list_links(*context.Role)):
+        self._send_heartbeat(link, now)
+
+
+# Each mutation: what is replaced by what, and the scenario that must notice.
 MUTATIONS = {
     "apply any generation that differs": (
-        configuration,
-        "decide_apply",
-        apply_any,
+        [(configuration, "decide_apply", apply_any)],
+        run_late_snapshots,
+    ),
+    "apply a delta without checking its base and digest": (
+        [
+            (configuration, "decide_apply", apply_newer),
+            (configuration, "apply_delta", apply_to_any_base),
+        ],
         run_late_snapshots,
     ),
     "ignore the floor": (
-        configuration.Configuration,
-        "set_floor",
-        set_no_floor,
+        [(configuration.Configuration, "set_floor", set_no_floor)],
         run_restart_behind,
     ),
-    "offer leaving members": (agent, "build_endpoints", offer_everyone, run_leave),
+    "offer leaving members": ([(agent, "build_endpoints", offer_everyone)], run_leave),
     "never expire a lease": (
-        root.LeaseKeeper,
-        "_is_expired",
-        lambda self, seen, now: seen.lease is None,
+        [(root.LeaseKeeper, "_is_expired", lambda self, seen, now: seen.lease is None)],
         run_recovery,
     ),
     "drop a head that arrives while gathering": (
-        headreader.SendGate,
-        "note",
-        lambda self, now, **_: None,
+        [(headreader.SendGate, "note", lambda self, now, **_: None)],
         run_recovery,
     ),
     "never close a silent link": (
-        agent.Agent,
-        "_check_links",
-        lambda self, now: [
-            self._send_heartbeat(link, now) for link in list(self.ctx.list_links(*context.Role))
-        ],
+        [(agent.Agent, "_check_links", send_heartbeats_only)],
         run_silent_leaf,
     ),
+    "admit every join": (
+        [(children.JoinGate, "admit", lambda self, now: True)],
+        run_admissions,
+    ),
+    "read the directory without back-off": (
+        [(parent.ParentSeeker, "_back_off", lambda self, now: self._wait(now))],
+        run_lonely_start,
+    ),
 }
 
 
 @pytest.mark.parametrize("name", MUTATIONS)
 def test_wrong_decisions_are_caught(name, monkeypatch):
     """Guard against scenarios that pass whatever the nodes decide."""
-    owner, attribute, wrong, scenario = MUTATIONS[name]
-    monkeypatch.setattr(owner, attribute, wrong)
+    patches, scenario = MUTATIONS[name]
+    for owner, attribute, wrong in patches:
+        monkeypatch.setattr(owner, attribute, wrong)
     with pytest.raises(AssertionError):
         scenario(build_world())
 
@@ -338,22 +392,6 @@
     assert admitted >= len(world.nodes) - 2
 
 
-def test_admissions_keep_their_rate():
-    """Guard against a root that admits every node of a mass restart at once."""
-    rate = 2.0
-    world = World(seed=3)
-    world.add_node("vm-root", join_rate_per_s=rate)
-    world.run(5.0)
-    for number in range(30):
-        world.add_node(f"vm-{number}", join_rate_per_s=rate, root_degree=64, root_eligible=False)
-    node = world.nodes["vm-root"]
-    for second in range(1, 10):
-        world.run(1.0)
-        assert node.agent.children.count() <= rate * (second + 1)
-    world.run(60.0)
-    assert node.agent.ctx.is_root
-
-
 def test_restart_while_the_platform_is_down():
     """Guard against a floor without every listed root, and against waiting without need."""
     # The directory cannot be read, so only seeds lead to the tree.
