Move the member exchange out of the agent

The agent dispatched events and also decided what each link hears of members; the second part is a module of its own now.

--- a/src/ibiswick/_internal/agent.py
+++ b/src/ibiswick/_internal/agent.py
@@ -13,8 +13,9 @@
 from .context import SELF, Context, Link, Role
 from .directory import Directory
 from .errors import MessageError
+from .exchange import MemberExchange
 from .leases import LeaseKeeper
-from .membership import Entry, build_endpoints, refute_record, select_members
+from .membership import build_endpoints
 from .messages import (
     Accept,
     DeltaSnapshot,
@@ -34,14 +35,13 @@
     Promote,
     Redirect,
     Refuse,
-    Removal,
     Report,
     RootJoin,
     SnapshotRequest,
 )
 from .parent import ParentSeeker
 from .records import Member, MemberState, Phase
-from .relay import SendGate, SnapshotHistory, list_routed_services
+from .relay import SendGate, list_routed_services
 from .reports import build_report
 from .root import RootRole
 from .settings import NodeSettings
@@ -50,9 +50,6 @@
 # The longest time between two ticks; except for gathered changes, timers are no finer than this.
 TICK_S = 0.25
 FLOOR_RETRY_S = 1.0
-EXPIRE_INTERVAL_S = 1.0
-# Records per message, so that a message stays far below its limit.
-MAX_MEMBERS_PER_MESSAGE = 2000
 # The endpoint lists are rebuilt at most so often, except when a member leaves.
 ENDPOINTS_GATHER_S = 0.02
 
@@ -100,11 +97,11 @@
             take_lease=self.root.take_free_lease,
         )
         self.children = Children(ctx, histories=self.root.get_history)
+        self.members = MemberExchange(ctx, histories=self.root.get_history)
         self._endpoints_gate = SendGate(gather_s=min(settings.gather_s, ENDPOINTS_GATHER_S))
         self._endpoints_of: tuple[int, int] = (-1, -1)
         self._relayed_generation = 0
         self._floor_at = 0.0
-        self._expire_at = 0.0
         self._leave_at: float | None = None
         self._report: Report | None = None
         self._report_link: Link | None = None
@@ -128,8 +125,8 @@
             GenerationRequest: self._on_generation_request,
             GenerationReport: self._on_generation_report,
             Heartbeat: self._on_heartbeat,
-            Members: self._on_members,
-            MembersRequest: self._on_members_request,
+            Members: self.members.receive,
+            MembersRequest: self.members.repeat,
         }
 
     # Events
@@ -219,7 +216,7 @@
         self._tick_floor(now)
         self.parent.tick(now)
         self.root.tick(now)
-        self._expire_members(now)
+        self.members.expire(now)
         self._tick_leave(now)
         self._settle(now)
 
@@ -344,75 +341,6 @@
         if generation > max(self.configuration.generation, refused):
             self.ctx.send(link, SnapshotRequest(self.configuration.generation), now)
 
-    def _on_members(self, link: Link, message: Members, now: float) -> None:
-        if not link.established:
-            return
-        for member in message.members:
-            self._check_member(link, member)
-        if message.serial <= link.heard_serial:
-            # Late or repeated: the gap it left was answered with a request for a complete view.
-            return
-        if message.serial > link.heard_serial + 1 and not message.full:
-            self.ctx.send(link, MembersRequest(link.heard_serial), now)
-        link.heard_serial = message.serial
-        if message.full:
-            self._take_view(link, message, now)
-        else:
-            for member in message.members:
-                self._merge(link, member, now)
-        for removal in message.removals:
-            self._remove(link, removal, now)
-
-    def _take_view(self, link: Link, message: Members, now: float) -> None:
-        """Replace what a link told before; it is stale where the view does not repeat it."""
-        for member in message.members:
-            self._merge(link, member, now)
-        repeated = {member.vm for member in message.members}
-        self.ctx.table.mark_stale(link.number, now, keep=repeated)
-        self.ctx.outbox.note(now)
-
-    def _on_members_request(self, link: Link, _message: MembersRequest, now: float) -> None:
-        if link.established:
-            link.full_due = True
-            self.ctx.outbox.note(now)
-
-    def _check_member(self, link: Link, member: Member) -> None:
-        if link.role is Role.PEER:
-            if member.availability_zone != link.availability_zone:
-                raise MessageError(f"member {member.vm} is not of {link.availability_zone}")
-            return
-        workspace = self.ctx.own.workspace if link.role is Role.PARENT else link.workspace
-        if member.workspace != workspace:
-            raise MessageError(f"member {member.vm} is not of workspace {workspace}")
-
-    def _merge(self, link: Link, member: Member, now: float) -> None:
-        if member.vm == self.ctx.own.vm:
-            refuted = refute_record(self.ctx.own, member)
-            if refuted is not None:
-                self.ctx.log("warn", "record-refuted", state=member.state.name)
-                self.ctx.update_own(refuted, now)
-            return
-        closer = link.role is Role.CHILD
-        if self.ctx.table.merge(member, via=link.number, now=now, closer=closer):
-            self.ctx.outbox.note(now, at_once=member.state is MemberState.LEAVING)
-
-    def _remove(self, link: Link, removal: Any, now: float) -> None:
-        if removal.vm == self.ctx.own.vm:
-            self.ctx.announce(now)
-        elif self.ctx.table.remove(removal, via=link.number, now=now):
-            self.ctx.outbox.note(now)
-        elif link.role is Role.PARENT and self._is_below(removal.vm):
-            # The retraction is from an earlier way to a member that is now below this node.
-            self.ctx.table.repeat(removal.vm)
-            self.ctx.outbox.note(now)
-
-    def _expire_members(self, now: float) -> None:
-        if now < self._expire_at:
-            return
-        self._expire_at = now + EXPIRE_INTERVAL_S
-        if self.ctx.table.expire(now, retention_s=self._settings.member_retention_s):
-            self.ctx.outbox.note(now)
-
     # Own state
 
     def _update_state(self, now: float) -> None:
@@ -492,11 +420,6 @@
     def _is_peer(self, link: Link) -> bool:
         return link.established and link.role is Role.PEER
 
-    def _is_below(self, vm: str) -> bool:
-        entry = self.ctx.table.get(vm)
-        link = self.ctx.links.get(entry.via) if entry is not None else None
-        return link is not None and self._is_child(link)
-
     def _check_links(self, now: float) -> None:
         """Close silent links and send heartbeats."""
         for link in list(self.ctx.links.values()):
@@ -540,80 +463,9 @@
     def _flush(self, now: float) -> None:
         below = {link.number for link in self.ctx.list_links(Role.CHILD)} | {SELF}
         for link in list(self.ctx.list_links(Role.PARENT, Role.CHILD, Role.PEER)):
-            self._send_members(link, below, now)
+            self.members.send(link, below, now)
         self._send_report(now)
 
-    def _send_members(self, link: Link, below: set[int], now: float) -> None:
-        table = self.ctx.table
-        full = link.full_due
-        after = 0 if full else link.cursor
-        if link.role is Role.CHILD:
-            members = self._select_for_child(link, after)
-            moved: list[Removal] = []
-        else:
-            members, moved = self._select_for_upper(link, after, below)
-        removals = [] if full else [*table.list_removals(after), *moved]
-        link.cursor = table.version
-        link.full_due = False
-        if not (members or removals or full):
-            return
-        chunks = [
-            members[start : start + MAX_MEMBERS_PER_MESSAGE]
-            for start in range(0, len(members), MAX_MEMBERS_PER_MESSAGE)
-        ]
-        for position, chunk in enumerate(chunks or [()]):
-            link.serial += 1
-            first = position == 0
-            message = Members(link.serial, full and first, chunk, tuple(removals) if first else ())
-            self.ctx.send(link, message, now)
-
-    def _select_for_child(self, link: Link, after: int) -> tuple[Member, ...]:
-        """Return what a child must hear of its workspace's routed services and of itself."""
-        services = self._list_services(link)
-        gained = services - link.services
-        link.services = services
-
-        def is_due(entry: Entry) -> bool:
-            member = entry.member
-            if entry.via == link.number or member.workspace != link.workspace:
-                return False
-            if member.service in gained:
-                return True
-            routed = member.service in services or member.vm == link.vm
-            return routed and entry.version > after
-
-        return select_members(self.ctx.table.list_changes(0 if gained else after), is_due)
-
-    def _select_for_upper(
-        self, link: Link, after: int, below: set[int]
-    ) -> tuple[tuple[Member, ...], list[Removal]]:
-        """Return what a parent or another root must hear of this subtree.
-
-        What moved out of the subtree is retracted.
-        """
-        workspaces = link.interests if link.role is Role.PEER else {self.ctx.own.workspace}
-        if link.full_due:
-            link.told.clear()
-        moved = []
-        entries = self.ctx.table.list_changes(after)
-        for entry in entries:
-            member = entry.member
-            if entry.via not in below and member.vm in link.told:
-                moved.append(Removal(member.vm, member.incarnation, member.sequence, True))
-                link.told.discard(member.vm)
-        members = select_members(
-            entries,
-            lambda entry: entry.via in below and entry.member.workspace in workspaces,
-        )
-        link.told.update(member.vm for member in members)
-        return members, moved
-
-    def _list_services(self, link: Link) -> frozenset[str]:
-        if link.role is not Role.CHILD:
-            return frozenset()
-        history: SnapshotHistory | None = self.root.get_history(link.workspace)
-        return frozenset() if history is None else list_routed_services(history.current)
-
     def _send_report(self, now: float) -> None:
         link = self.parent.link
         if link is None or not link.established:
