Serve the node's ports by an asyncio protocol on httptools

Cause: uvicorn's server costs each hop Python time for scope and message dictionaries, and importing it costs a node memory for click, multiprocessing, logging.config and email.

The caller, peer and operations ports now run ServerConnection, and the handlers take a ServerRequest with slots instead of the ASGI callables. A body that has arrived with its head is taken without a timer.

The mutation in test_stop_without_waiting_is_caught reached into uvicorn's server state; it now aborts the connections of the listener. What it must catch is unchanged.

--- a/src/ibiswick/_internal/answers.py
+++ b/src/ibiswick/_internal/answers.py
@@ -10,7 +10,7 @@
 from .heads import OUTCOME, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from .pool import ExchangeResponse, Headers
 from .records import Phase
-from .serving import AbortResponseError, Scope, Send, encode_problem
+from .serving import AbortResponseError, ServerRequest, encode_problem
 
 
 class Answer(NamedTuple):
@@ -41,30 +41,31 @@
     return build_answer(status, "outcome-unknown", detail, [(OUTCOME, OUTCOME_UNKNOWN)])
 
 
-async def send_answer(send: Send, answer: Answer, extra: Headers | None = None) -> None:
+def send_answer(request: ServerRequest, answer: Answer, extra: Headers | None = None) -> None:
     """Send a response made by ibiswick."""
     headers = answer.headers + extra if extra else answer.headers
-    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
-    await send({"type": "http.response.body", "body": answer.body})
+    request.respond(answer.status, headers, answer.body)
 
 
-async def pass_response(send: Send, response: ExchangeResponse, headers: Headers) -> None:
+async def pass_response(
+    request: ServerRequest, response: ExchangeResponse, headers: Headers
+) -> None:
     """Send a response on as it arrives; raise AbortResponseError when it breaks off."""
-    await send({"type": "http.response.start", "status": response.status, "headers": headers})
     if response.complete:
-        await send({"type": "http.response.body", "body": response.take()})
+        request.respond(response.status, headers, response.take())
         return
+    request.start(response.status, headers)
     try:
         while part := await response.read():
-            await send({"type": "http.response.body", "body": part, "more_body": True})
+            await request.write(part)
     except ResponseLostError as error:
         raise AbortResponseError(str(error)) from error
     finally:
         response.close()
-    await send({"type": "http.response.body", "body": b""})
+    request.finish()
 
 
-def build_closing_headers(board: Blackboard, scope: Scope) -> Headers:
+def build_closing_headers(board: Blackboard, request: ServerRequest) -> Headers:
     """Return the header that ends a connection to a node that stops.
 
     It is left out while a request body may still be arriving: closing a connection with unread
@@ -72,7 +73,7 @@
     """
     if board.phase.value not in (Phase.DRAINING, Phase.STOPPED):
         return []
-    for name, _ in scope["headers"]:
+    for name, _ in request.headers:
         if name in (b"content-length", b"transfer-encoding"):
             return []
     return [(b"connection", b"close")]
--- a/src/ibiswick/_internal/dataplane.py
+++ b/src/ibiswick/_internal/dataplane.py
@@ -19,7 +19,7 @@
 from .outbound import Outbound
 from .pool import Limits, Pool, PoolFetch, Remote, Request
 from .records import BackendHealth, Phase
-from .serving import Listener, Receive, Scope, Send
+from .serving import Listener, ServerRequest
 from .settings import NodeSettings
 from .tls import build_client_context, build_server_context, parse_identity
 
@@ -135,14 +135,14 @@
             upload_idle_s=settings.upload_idle_s,
         )
         self._caller = Listener(
-            application=self._outbound,
+            handler=self._outbound,
             host=settings.caller.host,
             port=settings.caller.port,
             ssl_context=caller_tls,
             on_rejected=self._note_rejected,
         )
         self._peer = Listener(
-            application=self._inbound,
+            handler=self._inbound,
             host=settings.peer.host,
             port=settings.peer.port,
             ssl_context=server_tls,
@@ -150,7 +150,7 @@
             on_rejected=self._note_rejected,
         )
         self._operations = Listener(
-            application=self._serve_operations,
+            handler=self._serve_operations,
             host=settings.operations.host,
             port=settings.operations.port,
             ssl_context=caller_tls,
@@ -275,12 +275,10 @@
     def _note_rejected(self, code: str) -> None:
         self._counts.add("ibiswick_requests_rejected_total", "code", code)
 
-    async def _serve_operations(self, scope: Scope, receive: Receive, send: Send) -> None:
-        status, headers, body = self._answer_operations(scope["path"])
+    async def _serve_operations(self, request: ServerRequest) -> None:
+        status, headers, body = self._answer_operations(request.path)
         pairs = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
-        pairs.append((b"content-length", b"%d" % len(body)))
-        await send({"type": "http.response.start", "status": status, "headers": pairs})
-        await send({"type": "http.response.body", "body": body})
+        request.respond(status, pairs, body)
 
     def _answer_operations(self, path: str) -> tuple[int, dict[str, str], bytes]:
         plain = {"content-type": "text/plain"}
--- a/src/ibiswick/_internal/inbound.py
+++ b/src/ibiswick/_internal/inbound.py
@@ -37,7 +37,7 @@
 from .logs import EventLog
 from .pool import Exchange, ExchangeResponse, Headers, Limits, Remote, Request
 from .records import Phase, Snapshot
-from .serving import AbortResponseError, Receive, Scope, Send
+from .serving import AbortResponseError, ServerRequest
 
 ALIVE_WITHIN_S = 1.0
 RETRY_AFTER_DRAINING_S = 1.0
@@ -61,7 +61,7 @@
 
 
 class Inbound:
-    """Serve the peer port as an ASGI application."""
+    """Serve the peer port as a handler of requests."""
 
     def __init__(
         self,
@@ -98,21 +98,19 @@
         """Return the slots and the calls that wait for one."""
         return self._queue
 
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def __call__(self, request: ServerRequest) -> None:
         """Answer one call of another node."""
-        if scope["type"] != "http":
-            return
-        head = read_request_head(scope["headers"])
+        head = read_request_head(request.headers)
         own: Headers = [(CALL, head.call_id)]
         refusal = self._check(head)
         if refusal is not None:
             self._counts.add("ibiswick_peer_calls_total", "result", refusal.code)
-            await send_answer(send, refusal, own + build_closing_headers(self._board, scope))
+            send_answer(request, refusal, own + build_closing_headers(self._board, request))
             return
         in_flight = self._board.in_flight
         in_flight.set(in_flight.value + 1)
         try:
-            await self._serve(scope, receive, send, head, own)
+            await self._serve(request, head, own)
         finally:
             in_flight.set(in_flight.value - 1)
 
@@ -136,9 +134,7 @@
             return build_not_run("this node drains", retry_after_s=RETRY_AFTER_DRAINING_S)
         return None
 
-    async def _serve(
-        self, scope: Scope, receive: Receive, send: Send, head: RequestHead, own: Headers
-    ) -> None:
+    async def _serve(self, request: ServerRequest, head: RequestHead, own: Headers) -> None:
         self._refresh()
         arrived = self._clock()
         deadline = None if head.deadline_ms is None else arrived + head.deadline_ms / 1000
@@ -148,12 +144,12 @@
             self._counts.add("ibiswick_peer_calls_total", "result", "not-run")
             detail = f"no free slot: {refused.reason}"
             answer = build_not_run(detail, retry_after_s=refused.retry_after_s)
-            await send_answer(send, answer, self._add_load(own))
+            send_answer(request, answer, self._add_load(own))
             return
         started = self._clock()
         reached = False
         try:
-            reached = await self._forward(scope, receive, send, head, own, deadline)
+            reached = await self._forward(request, head, own, deadline)
         finally:
             now = self._clock()
             self._grant(self._queue.release(now=now, duration_s=now - started if reached else None))
@@ -229,22 +225,20 @@
 
     async def _forward(
         self,
-        scope: Scope,
-        receive: Receive,
-        send: Send,
+        request: ServerRequest,
         head: RequestHead,
         own: Headers,
         deadline: float | None,
     ) -> bool:
         """Forward a call; return whether the backend server answered it."""
-        body = RequestBody(receive)
+        body = RequestBody(request)
         if head.expects_continue:
             # The other node sends the body once it is read, which is when there is a connection.
             body.whole = False
-        elif (head.chunked or head.length) and not await self._read_start(body, deadline):
+        elif not body.take_start() and not await self._read_start(body, deadline):
             detail = "the body did not arrive in time"
             answer = build_not_run(detail, retry_after_s=RETRY_AFTER_CONNECT_S)
-            await send_answer(send, answer, self._add_load(own))
+            send_answer(request, answer, self._add_load(own))
             return False
         limits = Limits(
             deadline,
@@ -254,9 +248,9 @@
             None,
             self._connections,
         )
-        request = self._build_request(scope, head, body, deadline)
+        forwarded = self._build_request(request, head, body, deadline)
         try:
-            response = await self._exchange(self._remote, request, limits)
+            response = await self._exchange(self._remote, forwarded, limits)
         except NotSentError as error:
             if deadline is None or deadline - self._clock() > MIN_CONNECT_S:
                 self._watcher.note_connect_failure(str(error))
@@ -266,10 +260,10 @@
         except ResponseLostError as error:
             answer = build_unknown(str(error), timed_out=False)
         else:
-            await self._pass(response, send, own)
+            await self._pass(request, response, own)
             return True
         self._counts.add("ibiswick_peer_calls_total", "result", answer.code)
-        await send_answer(send, answer, self._add_load(own))
+        send_answer(request, answer, self._add_load(own))
         return answer.status == 504
 
     async def _read_start(self, body: RequestBody, deadline: float | None) -> bool:
@@ -282,12 +276,12 @@
             return False
         return True
 
-    async def _pass(self, response: ExchangeResponse, send: Send, own: Headers) -> None:
+    async def _pass(self, request: ServerRequest, response: ExchangeResponse, own: Headers) -> None:
         self._watcher.note_connect_success()
         passed = read_response_head(response.headers, response.status)
         headers = passed.headers + self._add_load(own)
         try:
-            await pass_response(send, response, headers)
+            await pass_response(request, response, headers)
         except AbortResponseError:
             self._counts.add("ibiswick_peer_calls_total", "result", "cut-off")
             raise
@@ -298,13 +292,10 @@
         return [*own, (LOAD, format_load(queue.busy, queue.queued, queue.slots))]
 
     def _build_request(
-        self, scope: Scope, head: RequestHead, body: RequestBody, deadline: float | None
+        self, request: ServerRequest, head: RequestHead, body: RequestBody, deadline: float | None
     ) -> Request:
-        method = scope["method"]
-        lines = [method.encode(), b" ", scope["raw_path"]]
-        if scope["query_string"]:
-            lines += (b"?", scope["query_string"])
-        lines += (b" HTTP/1.1\r\n", head.passed)
+        method = request.method
+        lines = [method.encode(), b" ", request.target, b" HTTP/1.1\r\n", head.passed]
         if deadline is not None:
             remaining_ms = max(1, int((deadline - self._clock()) * 1000))
             lines += (DEADLINE, b": ", b"%d\r\n" % remaining_ms)
--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -52,7 +52,7 @@
     shrink_deadline_ms,
 )
 from .routes import RouteTable, has_dot_segment
-from .serving import AbortResponseError, Receive, Scope, Send
+from .serving import AbortResponseError, ServerRequest
 
 # A connection that was silent for longer may have been closed or cut off by now, and a call that
 # must not run twice could not be sent again.
@@ -129,7 +129,7 @@
 
 
 class Outbound:
-    """Serve the caller port as an ASGI application."""
+    """Serve the caller port as a handler of requests."""
 
     def __init__(
         self,
@@ -159,19 +159,17 @@
         self._id_prefix = os.urandom(6).hex().encode()
         self._ids = itertools.count(1)
 
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def __call__(self, request: ServerRequest) -> None:
         """Answer one request of a caller."""
         board = self._board
         in_flight = board.in_flight
-        if scope["type"] != "http":
-            return
         refusal = self._refuse_by_phase()
         if refusal is not None:
-            await send_answer(send, refusal, build_closing_headers(board, scope))
+            send_answer(request, refusal, build_closing_headers(board, request))
             return
         in_flight.set(in_flight.value + 1)
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(request)
         finally:
             in_flight.set(in_flight.value - 1)
 
@@ -188,11 +186,11 @@
             return build_not_run(detail, retry_after_s=RETRY_AFTER_UNREADY_S)
         return None
 
-    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
-        call = await self._prepare(scope, receive)
+    async def _serve(self, request: ServerRequest) -> None:
+        call = await self._prepare(request)
         if isinstance(call, Answer):
             self._counts.add("ibiswick_calls_total", "result", call.code)
-            await send_answer(send, call)
+            send_answer(request, call)
             return
         service = self._services[call.route["service"]]
         service.budget.note_call()
@@ -205,22 +203,22 @@
             attempt = await self._try_until_final(call, service)
         else:
             attempt = await self._try_hedged(call, service, hedge_s)
-        await self._finish(call, attempt, send)
+        await self._finish(call, attempt, request)
 
     # Preparation
 
-    async def _prepare(self, scope: Scope, receive: Receive) -> Call | Answer:
+    async def _prepare(self, request: ServerRequest) -> Call | Answer:
         """Find the route and read the start of the body."""
         self._refresh()
-        head = read_request_head(scope["headers"])
-        path = scope["path"]
+        head = read_request_head(request.headers)
+        path = request.path
         if head.trailers:
             return build_answer(501, "trailers-unsupported", "trailers are not supported")
         if head.hosts != 1:
             return build_answer(400, "malformed-request", "exactly one Host header is needed")
         if has_dot_segment(path):
             return build_answer(400, "malformed-request", "the path has dot segments")
-        method = scope["method"]
+        method = request.method
         route = self._table.find(normalize_host(head.host), path, method)
         if route is None:
             return build_answer(404, "no-route", "no route matches the host, path and method")
@@ -231,8 +229,8 @@
             deadline = compute_deadline(
                 now=now, route_ms=route["deadline_ms"], caller_ms=head.deadline_ms
             )
-        body = RequestBody(receive)
-        if head.chunked or head.length:
+        body = RequestBody(request)
+        if not body.take_start():
             limit = 0 if is_upload else MAX_REPLAY_BYTES
             limit_s = self._upload_idle_s if deadline is None else deadline - now
             try:
@@ -242,11 +240,13 @@
                 self._counts.add("ibiswick_refused_total", "reason", "body-late")
                 detail = "the body did not arrive in time"
                 return build_not_run(detail, retry_after_s=RETRY_AFTER_UNREADY_S)
-        target = scope["raw_path"]
-        if scope["query_string"]:
-            target += b"?" + scope["query_string"]
         return Call(
-            method=method, target=target, route=route, head=head, body=body, deadline=deadline
+            method=method,
+            target=request.target,
+            route=route,
+            head=head,
+            body=body,
+            deadline=deadline,
         )
 
     def _refresh(self) -> None:
@@ -476,15 +476,15 @@
 
     # Answers
 
-    async def _finish(self, call: Call, attempt: Attempt, send: Send) -> None:
+    async def _finish(self, call: Call, attempt: Attempt, request: ServerRequest) -> None:
         response, head = attempt.response, attempt.head
         if response is None or head is None:
             answer = self._build_failure(call, attempt)
             self._counts.add("ibiswick_calls_total", "result", answer.code)
-            await send_answer(send, answer)
+            send_answer(request, answer)
             return
         try:
-            await pass_response(send, response, head.headers)
+            await pass_response(request, response, head.headers)
         except AbortResponseError:
             self._counts.add("ibiswick_calls_total", "result", "cut-off")
             raise
--- a/src/ibiswick/_internal/serving.py
+++ b/src/ibiswick/_internal/serving.py
@@ -1,24 +1,23 @@
-"""Serve ASGI applications on uvicorn inside the node's own event loop."""
+"""Serve HTTP/1.1 on httptools inside the node's own event loop.
+
+A connection carries one request at a time. Requests that a caller pipelines wait, and reading
+pauses until they have been started.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import logging
+import http
 import socket
 import ssl
-import sys
 import time
 import urllib.parse
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import httptools
 import msgspec
-import uvicorn
-from uvicorn.protocols.http.httptools_impl import (
-    STATUS_LINE,
-    HttpToolsProtocol,
-    RequestResponseCycle,
-)
 
 from .logs import EventLog
 
@@ -26,15 +25,16 @@
 KEEP_ALIVE_S = 60
 BACKLOG = 1024
 MAX_REQUEST_HEAD_BYTES = 64 * 1024
+# Bytes of a request's body that may wait for their reader before the connection stops reading.
+REQUEST_HIGH_WATER_BYTES = 64 * 1024
 SHUTDOWN_LIMIT_S = 5
 
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-Application = Callable[[Scope, Receive, Send], Awaitable[None]]
-CheckClient = Callable[[dict[str, Any] | None], bool]
-
-_REASONS = {400: b"Bad Request", 431: b"Request Header Fields Too Large", 501: b"Not Implemented"}
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %b\r\n" % (status.value, status.phrase.encode())
+    for status in http.HTTPStatus
+}
+_BODILESS_STATUSES = (204, 304)
 
 _log = EventLog(component="serving")
 
@@ -44,7 +44,7 @@
 
 
 class _RejectedRequestError(Exception):
-    """Report a request that must not reach the application."""
+    """Report a request that must not reach the handler."""
 
     def __init__(self, status: int, code: str, detail: str) -> None:
         super().__init__(detail)
@@ -57,289 +57,515 @@
         super().__init__(431, "head-too-large", f"the head exceeds {MAX_REQUEST_HEAD_BYTES} bytes")
 
 
+class _UpgradeError(_RejectedRequestError):
+    def __init__(self) -> None:
+        super().__init__(501, "upgrade-unsupported", "upgrades are not supported")
+
+
 def encode_problem(code: str, detail: str) -> bytes:
     """Encode the body of a response made by ibiswick."""
     return msgspec.json.encode({"code": code, "detail": detail})
 
 
-class CallCycle(RequestResponseCycle):
-    """Write the head of a response together with the first part of its body.
+class ServerRequest:
+    """Hold one request and take its response.
 
-    Names and values of headers are not checked again: they come from a strict parser or from this
-    package. The checks and the second write cost about a third of uvicorn's time for a call.
+    `target` is the path with the query as received, `path` the decoded path. Names of headers are
+    in lower case. Names and values of a response's headers are not checked: they come from a strict
+    parser or from this package.
     """
 
+    __slots__ = (
+        "_chunked",
+        "_connection",
+        "_expects_continue",
+        "_left",
+        "_parts",
+        "_size",
+        "_start",
+        "_waiter",
+        "body_arrived",
+        "complete",
+        "gone",
+        "headers",
+        "keep_alive",
+        "method",
+        "path",
+        "started",
+        "target",
+    )
+
     def __init__(
         self,
-        protocol: CallProtocol,
-        scope: Scope,
+        connection: ServerConnection,
         *,
+        method: str,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
         keep_alive: bool,
-        expect_100_continue: bool,
+        expects_continue: bool,
     ) -> None:
-        # Sets what the inherited `receive` and the protocol use, without the logging of uvicorn.
-        self.scope = scope  # type: ignore[assignment]
-        self.transport = protocol.transport
-        self.flow = protocol.flow
-        self.message_event = asyncio.Event()
-        self.on_response = protocol.on_response_complete
-        self.disconnected = False
+        path = target.partition(b"?")[0].decode("latin-1")
+        self.method = method
+        self.target = target
+        self.path = urllib.parse.unquote(path) if "%" in path else path
+        self.headers = headers
         self.keep_alive = keep_alive
-        self.waiting_for_100_continue = expect_100_continue
-        self.body = bytearray()
-        self.more_body = True
-        self.response_started = False
-        self.response_complete = False
-        self.chunked_encoding = False
-        self.expected_content_length = 0
-        self.start: dict[str, Any] | None = None
-
-    async def send(self, message: dict[str, Any]) -> None:  # type: ignore[override]
-        """Send a part of the response; a length that does not match aborts the connection."""
-        if self.flow.write_paused and not self.disconnected:
-            await self.flow.drain()
-        if self.disconnected:
+        self.body_arrived = False
+        self.started = False
+        self.complete = False
+        self.gone = False
+        self._connection = connection
+        self._expects_continue = expects_continue
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._start: tuple[int, list[tuple[bytes, bytes]]] | None = None
+        self._chunked = False
+        self._left = 0
+
+    # Body
+
+    @property
+    def at_end(self) -> bool:
+        """Tell whether the whole body has been read."""
+        return self.body_arrived and not self._parts
+
+    @property
+    def is_backed_up(self) -> bool:
+        """Tell whether more of the body waits than should."""
+        return self._size > REQUEST_HIGH_WATER_BYTES
+
+    def add(self, part: bytes) -> None:
+        """Keep a part of the body until it is read."""
+        if self.complete or self.gone:
+            # The handler has answered without reading the rest.
             return
-        if message["type"] == "http.response.start":
-            self.start = message
+        self._parts.append(part)
+        self._size += len(part)
+
+    def wake(self) -> None:
+        """Wake the reader of the body."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def take(self) -> bytes:
+        """Return what has arrived of the body, without waiting."""
+        parts = self._parts
+        if not parts:
+            return b""
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        parts.clear()
+        self._size = 0
+        if not self.body_arrived:
+            self._connection.update_reading()
+        return body
+
+    async def read(self) -> bytes:
+        """Return the next part of the body, or nothing at its end.
+
+        Raise AbortResponseError when the caller has left.
+        """
+        while not self._parts:
+            if self.gone:
+                raise AbortResponseError("the caller left")
+            if self.body_arrived:
+                return b""
+            if self._expects_continue:
+                self._expects_continue = False
+                self._connection.write(_CONTINUE)
+            self._waiter = self._connection.loop.create_future()
+            await self._waiter
+        return self.take()
+
+    # Response
+
+    def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Send a whole response; raise AbortResponseError when its length does not match."""
+        if self.gone:
             return
-        body = message["body"]
-        more = message.get("more_body", False)
-        start, self.start = self.start, None
-        if start is not None:
-            if self.waiting_for_100_continue:
-                # The caller may leave out the body now, and the next bytes could be misread.
-                self.keep_alive = False
-            head = self._build_head(start, body, more)
-            self.response_started = True
-            self.waiting_for_100_continue = False
-            self.transport.write(head + self._frame(body, more))
-        else:
-            self.transport.write(self._frame(body, more))
-        if not more:
-            self._complete()
+        head = self._build_head(status, headers, len(body))
+        self._connection.write(head + self._frame(body, more=False))
+        self._complete()
+
+    def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Set the head of a response, which is sent with the first part of the body."""
+        self._start = (status, headers)
 
-    def _build_head(self, start: dict[str, Any], body: bytes, more: bool) -> bytes:
-        status = start["status"]
-        parts = [STATUS_LINE[status]]
+    async def write(self, part: bytes) -> None:
+        """Send a part of the body at the speed of the caller."""
+        if self.gone:
+            return
+        self._connection.write(self._take_head() + self._frame(part, more=True))
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End the body; raise AbortResponseError when its length does not match."""
+        if self.gone:
+            return
+        data = self._take_head() + self._frame(b"", more=False)
+        if data:
+            self._connection.write(data)
+        self._complete()
+
+    def _take_head(self) -> bytes:
+        start, self._start = self._start, None
+        return self._build_head(*start, None) if start is not None else b""
+
+    def _build_head(
+        self, status: int, headers: list[tuple[bytes, bytes]], length: int | None
+    ) -> bytes:
+        """Build the head; `length` is None when the body is sent in parts."""
+        if self._expects_continue:
+            # The caller may leave out the body now, and the next bytes could be misread.
+            self._expects_continue = False
+            self.keep_alive = False
+        self.started = True
+        parts = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
         has_length = False
-        for name, value in start["headers"]:
+        for name, value in headers:
             if name == b"content-length":
                 has_length = True
-                self.expected_content_length = int(value)
+                self._left = int(value)
             elif name == b"connection" and value == b"close":
                 self.keep_alive = False
                 continue
             parts += (name, b": ", value, b"\r\n")
-        if not has_length and self.scope["method"] != "HEAD" and status not in (204, 304):
-            if more:
-                self.chunked_encoding = True
+        if not has_length and self.method != "HEAD" and status not in _BODILESS_STATUSES:
+            if length is None:
+                self._chunked = True
                 parts.append(b"transfer-encoding: chunked\r\n")
             else:
-                self.expected_content_length = len(body)
-                parts.append(b"content-length: %d\r\n" % len(body))
+                self._left = length
+                parts.append(b"content-length: %d\r\n" % length)
         parts.append(b"\r\n" if self.keep_alive else b"connection: close\r\n\r\n")
         return b"".join(parts)
 
-    def _frame(self, body: bytes, more: bool) -> bytes:
+    def _frame(self, body: bytes, *, more: bool) -> bytes:
         """Frame a part of the body; raise AbortResponseError when the length does not match."""
-        if self.scope["method"] == "HEAD":
+        if self.method == "HEAD":
             return b""
-        if self.chunked_encoding:
+        if self._chunked:
             end = b"" if more else b"0\r\n\r\n"
             return b"%x\r\n%b\r\n%b" % (len(body), body, end) if body else end
-        self.expected_content_length -= len(body)
-        if self.expected_content_length < 0 or (not more and self.expected_content_length):
+        self._left -= len(body)
+        if self._left < 0 or (not more and self._left):
             raise AbortResponseError("the body differs from its announced length")
         return body
 
     def _complete(self) -> None:
-        self.response_complete = True
-        self.message_event.set()
-        if not self.keep_alive:
-            self.transport.close()
-        self.on_response()
-
+        self.complete = True
+        self._parts.clear()
+        self._size = 0
+        self._connection.end_response(self)
 
-class CallProtocol(HttpToolsProtocol):
-    """Add the limits of section 9 of docs/design.md to uvicorn's protocol.
 
-    A caller that leaves cancels the task of its call, and a request that must not be served is
-    answered with a code.
-    """
+Handler = Callable[[ServerRequest], Awaitable[None]]
+CheckClient = Callable[[dict[str, Any] | None], bool]
 
-    head_bytes = 0
-    in_body = False
-    keep_alive_until = 0.0
-    task: asyncio.Task[None] | None = None
-    check_client: CheckClient | None = None
-    on_rejected: Callable[[str], None] | None = None
 
-    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        super().connection_made(transport)
-        check = type(self).check_client
+class ServerConnection(asyncio.Protocol):
+    """Carry the requests of one caller; a caller that leaves cancels the task of its call."""
+
+    __slots__ = (
+        "_active",
+        "_expects_continue",
+        "_head_bytes",
+        "_headers",
+        "_in_head",
+        "_listener",
+        "_parser",
+        "_parsing",
+        "_queue",
+        "_reading_paused",
+        "_target",
+        "_task",
+        "_timer",
+        "_transport",
+        "_until",
+        "_writable",
+        "loop",
+    )
+
+    def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self._listener = listener
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport = None  # type: ignore[assignment]
+        # The request that is being answered, and the one whose body is arriving.
+        self._active: ServerRequest | None = None
+        self._parsing: ServerRequest | None = None
+        self._queue: deque[ServerRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._reading_paused = False
+        self._in_head = False
+        self._head_bytes = 0
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._expects_continue = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._until: float | None = None
+
+    # Transport callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        self._listener.connections.add(self)
+        check = self._listener.check_client
         if check is not None and not check(transport.get_extra_info("peercert")):
-            _log.warn("peer-refused", reason="certificate", client=self.client)
-            transport.abort()
+            client = transport.get_extra_info("peername")
+            _log.warn("peer-refused", reason="certificate", client=client)
+            self._abort()
+            return
+        self._wait_request()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        super().connection_lost(exc)
-        task, self.task = self.task, None
-        if task is not None:
-            # A task that has not begun to run would not remove itself.
-            self.tasks.discard(task)
-            task.cancel()
+        self._drop_requests()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.resume_writing()
+        self._parser = None  # type: ignore[assignment]
+        self._listener.forget(self)
+
+    def pause_writing(self) -> None:
+        self._writable = self.loop.create_future()
+
+    def resume_writing(self) -> None:
+        writable, self._writable = self._writable, None
+        if writable is not None and not writable.done():
+            writable.set_result(None)
+        if self._active is None:
+            self._start_next()
+
+    def data_received(self, data: bytes) -> None:
+        if self._transport.is_closing():
+            return
+        was_in_head = self._in_head
+        try:
+            self._parser.feed_data(data)
+            if was_in_head and self._in_head:
+                # The parser reports a header only when it is whole.
+                self._count_head_bytes(len(data))
+        except httptools.HttpParserUpgrade:
+            self._refuse(_UpgradeError())
+        except (httptools.HttpParserError, _RejectedRequestError) as error:
+            self._refuse(_find_rejection(error))
+        else:
+            parsing = self._parsing
+            if parsing is not None:
+                parsing.wake()
+                if self._queue or parsing.is_backed_up:
+                    self.update_reading()
+
+    def eof_received(self) -> None:
+        return None
+
+    # Parser callbacks
 
     def on_message_begin(self) -> None:
-        self.head_bytes = 0
-        self.in_body = False
-        self.url = b""
-        self.expect_100_continue = False
-        self.headers = []
+        self._in_head = True
+        self._head_bytes = 0
+        self._target = b""
+        self._headers = []
+        self._expects_continue = False
+        if self._until is not None:
+            # A request that begins just before the limit has the whole time again for its head.
+            self._until = time.monotonic() + KEEP_ALIVE_S
 
     def on_url(self, url: bytes) -> None:
-        self.url += url
-        self.head_bytes = len(self.url)
-        if self.head_bytes > MAX_REQUEST_HEAD_BYTES:
-            raise _HeadTooLargeError
+        self._target += url
+        self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.in_body:
+        if not self._in_head:
             raise _RejectedRequestError(501, "trailers-unsupported", "trailers are not supported")
-        self.head_bytes += len(name) + len(value)
-        if self.head_bytes > MAX_REQUEST_HEAD_BYTES:
-            raise _HeadTooLargeError
+        self._count_head_bytes(len(name) + len(value))
         name = name.lower()
-        if name == b"expect" and value.lower().startswith(b"100-continue"):
-            self.expect_100_continue = True
-        self.headers.append((name, value.rstrip(b" \t")))
+        if name == b"expect" and value[:12].lower() == b"100-continue":
+            self._expects_continue = True
+        self._headers.append((name, value.rstrip(b" \t")))
+
+    def _count_head_bytes(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > MAX_REQUEST_HEAD_BYTES:
+            raise _HeadTooLargeError
 
     def on_headers_complete(self) -> None:
-        self.in_body = True
-        parser = self.parser
+        self._in_head = False
+        parser = self._parser
         if parser.should_upgrade():
-            raise _RejectedRequestError(501, "upgrade-unsupported", "upgrades are not supported")
+            raise _UpgradeError
         if parser.get_http_version() != "1.1":
             raise _RejectedRequestError(400, "malformed-request", "only HTTP/1.1 is supported")
-        if self.url[:1] != b"/":
+        if self._target[:1] != b"/":
             raise _RejectedRequestError(400, "malformed-request", "the target must be a path")
-        self._begin_call(parser.get_method().decode("ascii"), parser.should_keep_alive())
-
-    def _begin_call(self, method: str, keep_alive: bool) -> None:
-        """Start the call, or queue it behind the one before it on this connection."""
-        raw_path, _, query = self.url.partition(b"?")
-        path = raw_path.decode("latin-1")
-        scope: Scope = {
-            "type": "http",
-            "http_version": "1.1",
-            "method": method,
-            "path": urllib.parse.unquote(path) if "%" in path else path,
-            "raw_path": raw_path,
-            "query_string": query,
-            "headers": self.headers,
-            "client": self.client,
-            "server": self.server,
-            "scheme": self.scheme,
-        }
-        previous = self.cycle
-        cycle = self.cycle = CallCycle(
-            self, scope, keep_alive=keep_alive, expect_100_continue=self.expect_100_continue
+        self._parsing = request = ServerRequest(
+            self,
+            method=parser.get_method().decode("ascii"),
+            target=self._target,
+            headers=self._headers,
+            keep_alive=parser.should_keep_alive(),
+            expects_continue=self._expects_continue,
         )
-        if previous is None or previous.response_complete:
-            self._start_asgi_task(cycle, self.app)
+        if self._active is None and self._writable is None and not self._queue:
+            self._start(request)
         else:
-            self.flow.pause_reading()
-            self.pipeline.appendleft((cycle, self.app))
+            self._queue.append(request)
 
-    def data_received(self, data: bytes) -> None:
-        if self.transport.is_closing():
-            return
-        super().data_received(data)
+    def on_body(self, body: bytes) -> None:
+        if self._parsing is not None:
+            self._parsing.add(body)
 
-    def send_400_response(self, msg: str) -> None:
-        """Answer a request that the parser or this class has rejected, and close."""
-        cycle = self.cycle
-        if cycle is not None and not cycle.response_complete:
-            # The rejected bytes may follow a request that is still being answered; an answer to
-            # them would be taken for the answer to that request.
-            own = self.in_body and cycle.more_body and not self.pipeline
-            if cycle.response_started or not own:
-                self.transport.abort()
-                return
-        self._reject(self._find_rejection(msg))
-
-    def _find_rejection(self, msg: str) -> _RejectedRequestError:
-        # httptools chains the exception of a callback to its own.
-        error = sys.exc_info()[1]
-        while error is not None:
-            if isinstance(error, _RejectedRequestError):
-                return error
-            error = error.__context__
-        return _RejectedRequestError(400, "malformed-request", msg)
-
-    def _reject(self, error: _RejectedRequestError) -> None:
-        if self.on_rejected is not None:
-            type(self).on_rejected(error.code)  # type: ignore[misc]
-        body = encode_problem(error.code, str(error))
-        head = (
-            b"HTTP/1.1 %d %b\r\ncontent-type: application/json\r\ncontent-length: %d\r\n"
-            b"connection: close\r\n\r\n"
-        )
-        self.transport.write(head % (error.status, _REASONS[error.status], len(body)) + body)
-        self.transport.close()
+    def on_message_complete(self) -> None:
+        request, self._parsing = self._parsing, None
+        if request is not None:
+            request.body_arrived = True
+            request.wake()
 
-    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
-        self.task = task = self.loop.create_task(self._run(cycle, app))
-        self.tasks.add(task)
+    # Requests
 
-    async def _run(self, cycle: RequestResponseCycle, app: Application) -> None:
-        """Run the application for one request; a broken response closes the connection."""
+    def _start(self, request: ServerRequest) -> None:
+        self._active = request
+        self._until = None
+        self._task = self.loop.create_task(self._run(request))
+
+    async def _run(self, request: ServerRequest) -> None:
+        """Run the handler for one request; a broken response closes the connection."""
         try:
-            await app(cycle.scope, cycle.receive, cycle.send)  # type: ignore[arg-type]
+            await self._listener.handler(request)
         except (AbortResponseError, asyncio.CancelledError):
-            self.transport.abort()
+            pass
         except Exception as error:
             _log.error("call-crashed", error=repr(error))
-            self.transport.abort()
+        if not request.complete:
+            self._transport.abort()
+
+    def end_response(self, request: ServerRequest) -> None:
+        """Start the next pipelined request, or wait for one as long as keep-alive allows."""
+        self._active = None
+        if not request.keep_alive:
+            self._queue.clear()
+            self._transport.close()
+            return
+        if self._writable is None:
+            self._start_next()
+
+    def _start_next(self) -> None:
+        """Start a request that waits, unless the connection closes."""
+        if self._transport.is_closing():
+            return
+        if self._queue:
+            self._start(self._queue.popleft())
+        elif self._until is None:
+            self._wait_request()
+        if self._reading_paused:
+            self.update_reading()
+
+    def _drop_requests(self) -> None:
+        """Cancel the call that is being answered and forget those that wait."""
+        active, self._active = self._active, None
+        task, self._task = self._task, None
+        self._queue.clear()
+        if active is not None:
+            active.gone = True
+            active.wake()
+            if task is not None:
+                task.cancel()
+
+    def _refuse(self, error: _RejectedRequestError) -> None:
+        """Answer a request that the parser or this class has rejected, and close."""
+        active = self._active
+        if active is not None and (active.started or active is not self._parsing or self._in_head):
+            # The rejected bytes follow a request that is still being answered; an answer to them
+            # would be taken for the answer to that request.
+            self._abort()
+            return
+        if self._queue:
+            self._abort()
+            return
+        self._drop_requests()
+        note = self._listener.on_rejected
+        if note is not None:
+            note(error.code)
+        body = encode_problem(error.code, str(error))
+        head = (
+            b"%bcontent-type: application/json\r\ncontent-length: %d\r\nconnection: close\r\n\r\n"
+        )
+        self._transport.write(head % (_STATUS_LINES[error.status], len(body)) + body)
+        self._transport.close()
+
+    def _abort(self) -> None:
+        """Close the connection at once."""
+        self._drop_requests()
+        self._transport.abort()
+
+    def stop(self) -> None:
+        """Close an idle connection, and another one after the answer to its request."""
+        if self._active is None:
+            self._transport.close()
         else:
-            if not cycle.response_complete:
-                self.transport.abort()
-        finally:
-            self.tasks.discard(asyncio.current_task())  # type: ignore[arg-type]
+            self._active.keep_alive = False
 
-    # One timer for each connection is moved on when it fires: creating and cancelling one for
-    # each request costs more.
+    def abort(self) -> None:
+        """Cancel the call in flight and close the connection at once."""
+        self._abort()
 
-    def _unset_keepalive_if_required(self) -> None:
-        self.keep_alive_until = 0.0
-        if self.transport.is_closing():
-            super()._unset_keepalive_if_required()
+    # Flow
 
-    def on_response_complete(self) -> None:
-        """Start the next pipelined request, or wait for one as long as keep-alive allows."""
-        if self.transport.is_closing():
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough."""
+        if self._writable is not None:
+            await asyncio.shield(self._writable)
+
+    def update_reading(self) -> None:
+        """Read only while no request waits and the reader of the body keeps up."""
+        if self._transport.is_closing():
             return
-        self.flow.resume_reading()
-        if self.pipeline:
-            self._start_asgi_task(*self.pipeline.pop())
+        parsing = self._parsing
+        pause = bool(self._queue) or (parsing is not None and parsing.is_backed_up)
+        if pause is self._reading_paused:
             return
-        self.keep_alive_until = time.monotonic() + self.timeout_keep_alive
-        if self.timeout_keep_alive_task is None:
-            self._arm_keep_alive(self.timeout_keep_alive)
+        self._reading_paused = pause
+        if pause:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    # Keep-alive
 
-    def _arm_keep_alive(self, delay_s: float) -> None:
-        handler = self.timeout_keep_alive_handler
-        self.timeout_keep_alive_task = self.loop.call_later(delay_s, handler)
+    # One timer for each connection is moved on when it fires: creating and cancelling one for each
+    # request costs more.
 
-    def timeout_keep_alive_handler(self) -> None:
-        self.timeout_keep_alive_task = None
-        if self.keep_alive_until == 0.0 or self.transport.is_closing():
+    def _wait_request(self) -> None:
+        self._until = time.monotonic() + KEEP_ALIVE_S
+        if self._timer is None:
+            self._timer = self.loop.call_later(KEEP_ALIVE_S, self._check_idle)
+
+    def _check_idle(self) -> None:
+        self._timer = None
+        if self._until is None:
             return
-        left_s = self.keep_alive_until - time.monotonic()
+        left_s = self._until - time.monotonic()
         if left_s > 0:
-            self._arm_keep_alive(left_s)
+            self._timer = self.loop.call_later(left_s, self._check_idle)
         else:
-            self.transport.close()
+            self._transport.close()
+
+
+def _find_rejection(error: BaseException) -> _RejectedRequestError:
+    """Return the error of a callback, which httptools chains to its own, or a general one."""
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, _RejectedRequestError):
+            return cause
+        cause = cause.__context__
+    return _RejectedRequestError(400, "malformed-request", "Invalid HTTP request received.")
 
 
 def bind_socket(host: str, port: int) -> socket.socket:
@@ -357,61 +583,62 @@
 
 
 class Listener:
-    """Run one uvicorn server without its signal handlers and without its periodic tick.
-
-    The tick only refreshes the `Date` header, which is switched off.
-    """
+    """Accept connections on one port and answer their requests with a handler."""
 
     def __init__(
         self,
         *,
-        application: Application,
+        handler: Handler,
         host: str,
         port: int,
         ssl_context: ssl.SSLContext | None = None,
         check_client: CheckClient | None = None,
         on_rejected: Callable[[str], None] | None = None,
     ) -> None:
-        namespace = {
-            "check_client": staticmethod(check_client) if check_client else None,
-            "on_rejected": staticmethod(on_rejected) if on_rejected else None,
-        }
-        self._config = uvicorn.Config(
-            application,  # type: ignore[arg-type]
-            http=type("BoundCallProtocol", (CallProtocol,), namespace),
-            ws="none",
-            loop="none",
-            lifespan="off",
-            interface="asgi3",
-            access_log=False,
-            log_config=None,
-            proxy_headers=False,
-            server_header=False,
-            date_header=False,
-            timeout_keep_alive=KEEP_ALIVE_S,
-            timeout_graceful_shutdown=SHUTDOWN_LIMIT_S,
-            backlog=BACKLOG,
-        )
+        self.handler = handler
+        self.check_client = check_client
+        self.on_rejected = on_rejected
+        self.connections: set[ServerConnection] = set()
+        self.port = port
         self._ssl = ssl_context
         self._address = (host, port)
-        self._server: uvicorn.Server | None = None
+        self._server: asyncio.Server | None = None
         self._socket: socket.socket | None = None
-        self.port = port
+        self._empty: asyncio.Event | None = None
 
     async def start(self) -> None:
         """Bind and listen; raise OSError."""
-        # Rejected requests are counted by this package; uvicorn would log a line for each.
-        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        loop = asyncio.get_running_loop()
         self._socket = bind_socket(*self._address)
         self.port = self._socket.getsockname()[1]
-        self._config.load()
-        self._config.ssl = self._ssl
-        self._server = uvicorn.Server(self._config)
-        self._server.lifespan = self._config.lifespan_class(self._config)
-        await self._server.startup(sockets=[self._socket])
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self, loop),
+            sock=self._socket,
+            ssl=self._ssl,
+            backlog=BACKLOG,
+        )
 
     async def stop(self) -> None:
         """Close the listener, idle connections, and the others once they have been answered."""
-        if self._server is not None and self._socket is not None:
-            await self._server.shutdown(sockets=[self._socket])
-            self._server = None
+        if self._server is None or self._socket is None:
+            return
+        self._server.close()
+        self._server = None
+        self._socket.close()
+        self._empty = empty = asyncio.Event()
+        for connection in list(self.connections):
+            connection.stop()
+        if not self.connections:
+            return
+        try:
+            async with asyncio.timeout(SHUTDOWN_LIMIT_S):
+                await empty.wait()
+        except TimeoutError:
+            for connection in list(self.connections):
+                connection.abort()
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Drop a closed connection."""
+        self.connections.discard(connection)
+        if self._empty is not None and not self.connections:
+            self._empty.set()
--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -423,8 +423,8 @@
             await node._board.drain.wait_change(node._board.drain.version)
         node._set_phase(NodePhase.STOPPED)
         for listener in (node._caller, node._peer):
-            for connection in list(listener._server.server_state.connections):
-                connection.transport.abort()
+            for connection in list(listener.connections):
+                connection.abort()
 
     @given(plans=QUIET_PLANS, at_ms=st.integers(0, 320), node=st.integers(0, NODES - 1))
     @settings(max_examples=80, phases=(Phase.generate,), **RELAXED)
