--- a/src/ibiswick/_internal/serving.py
+++ b/src/ibiswick/_internal/serving.py
@@ -269,6 +269,7 @@
 
     __slots__ = (
         "_active",
+        "_ended",
         "_expects_continue",
         "_head_bytes",
         "_headers",
@@ -299,6 +300,8 @@
         self._task: asyncio.Task[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._reading_paused = False
+        # The caller has announced that no request follows; what does follow is not read.
+        self._ended = False
         self._in_head = False
         self._head_bytes = 0
         self._target = b""
@@ -325,7 +328,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self.resume_writing()
+        self._wake_writer()
         self._parser = None  # type: ignore[assignment]
         self._listener.forget(self)
 
@@ -333,14 +336,17 @@
         self._writable = self.loop.create_future()
 
     def resume_writing(self) -> None:
+        self._wake_writer()
+        if self._active is None:
+            self._start_next()
+
+    def _wake_writer(self) -> None:
         writable, self._writable = self._writable, None
         if writable is not None and not writable.done():
             writable.set_result(None)
-        if self._active is None:
-            self._start_next()
 
     def data_received(self, data: bytes) -> None:
-        if self._transport.is_closing():
+        if self._ended or self._transport.is_closing():
             return
         was_in_head = self._in_head
         try:
@@ -351,13 +357,12 @@
         except httptools.HttpParserUpgrade:
             self._refuse(_UpgradeError())
         except (httptools.HttpParserError, _RejectedRequestError) as error:
-            self._refuse(_find_rejection(error))
+            if not self._ended:
+                self._refuse(_find_rejection(error))
         else:
-            parsing = self._parsing
-            if parsing is not None:
-                parsing.wake()
-                if self._queue or parsing.is_backed_up:
-                    self.update_reading()
+            if self._parsing is not None:
+                self._parsing.wake()
+            self.update_reading()
 
     def eof_received(self) -> None:
         return None
@@ -423,6 +428,7 @@
         if request is not None:
             request.body_arrived = True
             request.wake()
+            self._ended = not self._parser.should_keep_alive()
 
     # Requests
 
@@ -447,7 +453,7 @@
         self._active = None
         if not request.keep_alive:
             self._queue.clear()
-            self._transport.close()
+            self._close()
             return
         if self._writable is None:
             self._start_next()
@@ -476,13 +482,12 @@
 
     def _refuse(self, error: _RejectedRequestError) -> None:
         """Answer a request that the parser or this class has rejected, and close."""
-        active = self._active
-        if active is not None and (active.started or active is not self._parsing or self._in_head):
-            # The rejected bytes follow a request that is still being answered; an answer to them
-            # would be taken for the answer to that request.
-            self._abort()
-            return
-        if self._queue:
+        active, parsing = self._active, self._parsing
+        follows = active is not None and active is not parsing
+        answered = parsing is not None and (parsing.started or parsing.complete)
+        if follows or answered or self._queue:
+            # The rejected bytes follow a request that is still being answered, or belong to one
+            # that has been; an answer to them would be taken for the answer to another request.
             self._abort()
             return
         self._drop_requests()
@@ -494,17 +499,22 @@
             b"%bcontent-type: application/json\r\ncontent-length: %d\r\nconnection: close\r\n\r\n"
         )
         self._transport.write(head % (_STATUS_LINES[error.status], len(body)) + body)
-        self._transport.close()
+        self._close()
 
     def _abort(self) -> None:
         """Close the connection at once."""
         self._drop_requests()
         self._transport.abort()
 
+    def _close(self) -> None:
+        """Close the connection once everything has been sent; the timer ends a vain wait."""
+        self._transport.close()
+        self._wait_request()
+
     def stop(self) -> None:
         """Close an idle connection, and another one after the answer to its request."""
         if self._active is None:
-            self._transport.close()
+            self._close()
         else:
             self._active.keep_alive = False
 
@@ -554,8 +564,10 @@
         left_s = self._until - time.monotonic()
         if left_s > 0:
             self._timer = self.loop.call_later(left_s, self._check_idle)
+        elif self._transport.is_closing():
+            self._transport.abort()
         else:
-            self._transport.close()
+            self._close()
 
 
 def _find_rejection(error: BaseException) -> _RejectedRequestError:
