Hold the ports of the simulated backend servers until every port is bound

A port that was released at once could be given to a listener of a node, and the calls for the backend server went to that listener: the hedging test failed once with 403. What the test checks is unchanged.

--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -148,11 +148,13 @@
     async def start(self) -> None:
         """Start every node and tell each about all."""
         snapshot = Snapshot("yorgan", 1, "d", {"dukkan-masa": build_policy(slots=2)}, ROUTES)
+        # Held until every listener has its port, or one of them could get the same port.
+        held = []
         for index in range(NODES):
             listening = bind_socket("127.0.0.1", 0)
+            held.append(listening)
             await self.loop.create_server(self._make_backend_server, sock=listening)
             self.backend_ports.append(listening.getsockname()[1])
-            listening.close()
             board = Blackboard()
             node = DataPlane(
                 settings=self._build_settings(index), board=board, rng=random.Random(index)
@@ -160,6 +162,8 @@
             await node.start()
             self.boards.append(board)
             self.nodes.append(node)
+        for listening in held:
+            listening.close()
         for board in self.boards:
             board.snapshot.set(snapshot)
             board.endpoints.set({"dukkan-masa": self._list_endpoints()})
