--- a/src/ibiswick/_internal/headreader.py
+++ b/src/ibiswick/_internal/headreader.py
@@ -9,7 +9,7 @@
 
 from .context import Context
 from .errors import IbiswickError, SnapshotError
-from .floors import HeadIndex, WorkspaceVersion
+from .floors import HeadIndex, WorkspaceVersion, build_empty_snapshot
 from .platform import Listing, StoredObject
 from .records import Head, Manifest, Snapshot
 from .relay import SendGate
@@ -68,6 +68,8 @@
         self._manifest_asked = False
         self.read_since_start = False
         self._fetching.clear()
+        # The snapshots of other workspaces went with the last term of the role.
+        self._settled.clear()
         self._revision = max(self._revision, min_revision)
         self._retry_at = now
 
@@ -227,7 +229,7 @@
 
     def _fetch(self, now: float) -> None:
         for workspace in sorted(self._list_carried()):
-            version = self.index.workspaces.get(workspace)
+            version = self.index.find(workspace)
             if version is None or workspace in self._fetching:
                 continue
             if self._settled.get(workspace) == version:
@@ -240,6 +242,10 @@
                     workspace, version, current._replace(generation=version.generation), now
                 )
                 continue
+            empty = build_empty_snapshot(workspace, generation=version.generation)
+            if version.digest == empty.digest:
+                self._settle(workspace, version, empty, now)
+                continue
             self._fetch_blob(workspace, version)
 
     def _fetch_blob(self, workspace: str, version: WorkspaceVersion) -> None:
--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -89,6 +89,7 @@
         "maybe_ran",
         "method",
         "route",
+        "service",
         "target",
         "timed_out",
         "tried",
@@ -100,10 +101,12 @@
         method: str,
         target: bytes,
         route: Route,
+        service: ServiceState,
         head: RequestHead,
         body: RequestBody,
         deadline: float | None,
     ) -> None:
+        self.service = service
         self.method = method
         self.target = target
         self.route = route
@@ -192,7 +195,7 @@
             self._counts.add("ibiswick_calls_total", "result", call.code)
             send_answer(request, call)
             return
-        service = self._services[call.route["service"]]
+        service = call.service
         service.budget.note_call()
         hedge_s = decide_hedge(
             idempotent=call.route["idempotent"],
@@ -222,6 +225,8 @@
         route = self._table.find(normalize_host(head.host), path, method)
         if route is None:
             return build_answer(404, "no-route", "no route matches the host, path and method")
+        # A new snapshot may remove the service while the body arrives.
+        service = self._services[route["service"]]
         now = self._clock()
         deadline = None
         is_upload = route["kind"] == "upload"
@@ -244,6 +249,7 @@
             method=method,
             target=request.target,
             route=route,
+            service=service,
             head=head,
             body=body,
             deadline=deadline,
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -38,6 +38,7 @@
 
 LATENCY_S = 0.001
 CONNECT_TIMEOUT_S = 3.0
+SLOW_WATCH_S = 5.0
 RECENT = 16
 # Messages whose loss, repetition or reordering must be harmless; the rest rely on the order of TCP.
 UNORDERED = (DeltaSnapshot, Floor, FloorRequest, FullSnapshot, Heartbeat, Members)
@@ -139,6 +140,7 @@
         self.lose_answers = 0.0
         self.stale_gets = 0.0
         self.watch_lag_s = 0.0
+        self.slow_watches: set[str] = set()
         self.disorder = 0.0
         self.cuts: set[tuple[str, str]] = set()
         self.accepted: dict[tuple[str, int], str] = {}
@@ -244,6 +246,7 @@
         self.set_platform_down(False)
         self.lose_answers = self.stale_gets = self.watch_lag_s = self.disorder = 0.0
         self.cuts.clear()
+        self.slow_watches.clear()
         for node in self.nodes.values():
             node.paused_until = min(node.paused_until, self.now)
 
@@ -309,7 +312,7 @@
     def _log(self, node: Node, action: Log) -> None:
         node.events[action.event] += 1
         if action.event == "snapshot-applied":
-            self._check_applied(node, action.fields["generation"], action.fields["digest"])
+            self._check_applied(node, action.fields["generation"])
 
     # Links
 
@@ -416,6 +419,7 @@
             if listing.objects:
                 self._watches.remove(watch)
                 lag = self.random.uniform(0.0, self.watch_lag_s)
+                lag += SLOW_WATCH_S if node.vm in self.slow_watches else 0.0
                 self._answer(node, life, action.call, listing, delay_s=LATENCY_S + lag)
 
     def _call(self, node: Node, action: CallPlatform) -> None:
@@ -481,11 +485,19 @@
 
     # Oracle
 
-    def _check_applied(self, node: Node, generation: int, digest: str) -> None:
+    def _check_applied(self, node: Node, generation: int) -> None:
         """Check promises 1 and 3: never an older generation, never unaccepted content."""
         newest = max((applied for applied, _ in node.applied), default=0)
         if generation < newest:
             self.violations.append(f"{node.vm} went back from {newest} to {generation}")
+        held = node.board.snapshot.value
+        # The digest is computed from the content, because a node may state any.
+        digest = build_snapshot(
+            workspace=held.workspace,
+            generation=generation,
+            services=held.services,
+            routes=held.routes,
+        ).digest
         if self.accepted.get((node.settings.workspace, generation)) != digest:
             self.violations.append(f"{node.vm} applied unaccepted content as {generation}")
         node.applied.append((generation, digest))
