--- a/src/ibiswick/_internal/pool.py
+++ b/src/ibiswick/_internal/pool.py
@@ -19,6 +19,7 @@
 import httptools
 
 from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from .parts import Parts
 from .platform import FetchResponse
 
 CONNECT_TIMEOUT_S = 0.3
@@ -107,14 +108,11 @@
         """Raise NotSentError, ResponseLostError or ExchangeTimeoutError."""
 
 
-class Response:
+class Response(Parts):
     """Collect the response of one exchange."""
 
     __slots__ = (
         "_connection",
-        "_parts",
-        "_size",
-        "_waiter",
         "complete",
         "error",
         "has_head",
@@ -123,10 +121,8 @@
     )
 
     def __init__(self, connection: Connection) -> None:
+        super().__init__()
         self._connection = connection
-        self._parts: list[bytes] = []
-        self._size = 0
-        self._waiter: asyncio.Future[None] | None = None
         self.complete = False
         self.has_head = False
         self.error: ResponseLostError | None = None
@@ -140,11 +136,6 @@
         if self._size > RESPONSE_HIGH_WATER_BYTES:
             self._connection.pause_reading()
 
-    def wake(self) -> None:
-        """Wake the reader."""
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     async def wait_head(self) -> None:
         """Wait for the head; raise ResponseLostError when it will not come."""
         while not self.has_head:
@@ -162,12 +153,9 @@
 
     def take(self) -> bytes:
         """Return what has arrived of the body, without waiting."""
-        parts = self._parts
-        if not parts:
+        if not self._parts:
             return b""
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
-        parts.clear()
-        self._size = 0
+        body = self._join()
         if not self.complete:
             self._connection.resume_reading()
         return body
--- a/src/ibiswick/_internal/serving.py
+++ b/src/ibiswick/_internal/serving.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from .logs import EventLog
+from .parts import Parts
 
 # Longer than the idle limit of the nodes' own pools, so that these close first.
 KEEP_ALIVE_S = 60
@@ -67,7 +68,7 @@
     return msgspec.json.encode({"code": code, "detail": detail})
 
 
-class ServerRequest:
+class ServerRequest(Parts):
     """Hold one request and take its response.
 
     `target` is the path with the query as received, `path` the decoded path. Names of headers are
@@ -80,10 +81,7 @@
         "_connection",
         "_expects_continue",
         "_left",
-        "_parts",
-        "_size",
         "_start",
-        "_waiter",
         "body_arrived",
         "complete",
         "gone",
@@ -105,6 +103,7 @@
         keep_alive: bool,
         expects_continue: bool,
     ) -> None:
+        super().__init__()
         path = target.partition(b"?")[0].decode("latin-1")
         self.method = method
         self.target = target
@@ -117,9 +116,6 @@
         self.gone = False
         self._connection = connection
         self._expects_continue = expects_continue
-        self._parts: list[bytes] = []
-        self._size = 0
-        self._waiter: asyncio.Future[None] | None = None
         self._start: tuple[int, list[tuple[bytes, bytes]]] | None = None
         self._chunked = False
         self._left = 0
@@ -144,19 +140,11 @@
         self._parts.append(part)
         self._size += len(part)
 
-    def wake(self) -> None:
-        """Wake the reader of the body."""
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     def take(self) -> bytes:
         """Return what has arrived of the body, without waiting."""
-        parts = self._parts
-        if not parts:
+        if not self._parts:
             return b""
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
-        parts.clear()
-        self._size = 0
+        body = self._join()
         if not self.body_arrived:
             self._connection.update_reading()
         return body
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -185,8 +185,9 @@
     """Guard against a node that exceeds its memory because of an import."""
     program = (
         "import sys, ibiswick._internal.platform, ibiswick._internal.snapshots, "
-        "ibiswick._internal.budgets; "
-        "sys.exit(', '.join({'httpx', 'jsonschema', 'cyclopts', 'litestar'} & sys.modules.keys()))"
+        "ibiswick._internal.budgets, ibiswick._internal.commands.node; "
+        "heavy = {'httpx', 'jsonschema', 'cyclopts', 'litestar', 'uvicorn', 'multiprocessing'}; "
+        "sys.exit(', '.join(heavy & sys.modules.keys()))"
     )
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
     done = subprocess.run(
