--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -148,11 +148,13 @@
     async def start(self) -> None:
         """Start every node and tell each about all."""
         snapshot = Snapshot("yorgan", 1, "d", {"dukkan-masa": build_policy(slots=2)}, ROUTES)
+        # Held until every listener has its port, or one of them could get the same port.
+        held = []
         for index in range(NODES):
             listening = bind_socket("127.0.0.1", 0)
+            held.append(listening)
             await self.loop.create_server(self._make_backend_server, sock=listening)
             self.backend_ports.append(listening.getsockname()[1])
-            listening.close()
             board = Blackboard()
             node = DataPlane(
                 settings=self._build_settings(index), board=board, rng=random.Random(index)
@@ -160,6 +162,8 @@
             await node.start()
             self.boards.append(board)
             self.nodes.append(node)
+        for listening in held:
+            listening.close()
         for board in self.boards:
             board.snapshot.set(snapshot)
             board.endpoints.set({"dukkan-masa": self._list_endpoints()})
@@ -423,8 +427,8 @@
             await node._board.drain.wait_change(node._board.drain.version)
         node._set_phase(NodePhase.STOPPED)
         for listener in (node._caller, node._peer):
-            for connection in list(listener._server.server_state.connections):
-                connection.transport.abort()
+            for connection in list(listener.connections):
+                connection.abort()
 
     @given(plans=QUIET_PLANS, at_ms=st.integers(0, 320), node=st.integers(0, NODES - 1))
     @settings(max_examples=80, phases=(Phase.generate,), **RELAXED)
