--- a/src/ibiswick/_internal/standins/demo.py
+++ b/src/ibiswick/_internal/standins/demo.py
@@ -19,13 +19,14 @@
 from .documents import EditKind, WorkingCopy
 from .evidence import collect_history
 from .load import CallClass, LoadGenerator, summarize
-from .rig import Rig, cancel_on_signals
+from .rig import Plan, Rig, cancel_on_signals
 from .tables import format_calls, format_table, format_verdicts
 
 _RATE_PER_S = 150.0
 _LOAD_S = 24.0
 _PAUSE_S = 2.0
 _DOWN_S = 2.0
+_COLD_S = 3.0
 _BUSY_S = 5.0
 _BUSY_SLOTS = 2
 _ROUTED_S = 20.0
@@ -49,7 +50,7 @@
     deployment = DEPLOYMENTS[name]
     started = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="ibiswick-") as temporary:
-        async with Rig(plan=deployment.plan, directory=Path(temporary)) as rig:
+        async with Rig(plan=_start_cold(deployment.plan), directory=Path(temporary)) as rig:
             try:
                 result = await _Demo(rig, deployment, configuration, seed).run()
             finally:
@@ -210,6 +211,11 @@
     )
 
 
+def _start_cold(plan: Plan) -> Plan:
+    services = tuple(service._replace(cold_s=_COLD_S) for service in plan.services)
+    return plan._replace(services=services)
+
+
 def _format_ms(seconds: float) -> str:
     return f"{seconds * 1000:.0f}"
 
--- a/src/ibiswick/_internal/standins/rig.py
+++ b/src/ibiswick/_internal/standins/rig.py
@@ -39,6 +39,7 @@
     slots: int = 6
     connections: int = 130
     service_ms: tuple[tuple[str, float], ...] = ()
+    cold_s: float = 0.0
 
 
 class Plan(NamedTuple):
@@ -338,6 +339,7 @@
             *("--vm", node.backend_vm, "--service", node.service.name),
             *("--port", str(node.backend_port), "--slots", str(self._count_slots(node))),
             *("--connections", str(self._count_connections(node))),
+            *("--cold-s", str(node.service.cold_s)),
             *("--ledger", str(self.directory / f"{node.backend_vm}.ledger")),
         ]
         for prefix, ms in node.service.service_ms:
