End the demo and the measurements cleanly on signals, with uploads in flight at the drain

Without calls in flight promise 8 would not be checked, so the demo starts three long uploads through the node that it drains.

--- a/src/ibiswick/_internal/commands/load_demo.py
+++ b/src/ibiswick/_internal/commands/load_demo.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from pathlib import Path
 from typing import Literal
@@ -27,4 +28,6 @@
         passed = uvloop.run(run_demo(deployment, deployments / deployment, seed=seed, keep=keep))
     except KeyboardInterrupt:
         sys.exit(130)
+    except asyncio.CancelledError:
+        sys.exit(143)
     sys.exit(0 if passed else 1)
--- a/src/ibiswick/_internal/commands/load_measure.py
+++ b/src/ibiswick/_internal/commands/load_measure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import sys
 from pathlib import Path
@@ -22,6 +23,8 @@
         figures = uvloop.run(run_measures(deployments, only=only))
     except KeyboardInterrupt:
         sys.exit(130)
+    except asyncio.CancelledError:
+        sys.exit(143)
     text = json.dumps(figures, indent=2) + "\n"
     output.parent.mkdir(parents=True, exist_ok=True)
     output.write_text(text)
--- a/src/ibiswick/_internal/standins/demo.py
+++ b/src/ibiswick/_internal/standins/demo.py
@@ -15,7 +15,7 @@
 
 from ..oracle import CONVERGENCE_BOUND_S, History, Outage, Outcome, Verdict, check_all
 from .convergence import Convergence, list_convergence
-from .deployments import DEPLOYMENTS, Deployment
+from .deployments import DEPLOYMENTS, KIB, Deployment
 from .documents import EditKind, WorkingCopy
 from .evidence import collect_history
 from .load import CallClass, LoadGenerator, summarize
@@ -27,8 +27,9 @@
 _PAUSE_S = 2.0
 _DOWN_S = 2.0
 _COLD_S = 3.0
-_BUSY_S = 5.0
-_BUSY_SLOTS = 2
+_UPLOADS_AT_DRAIN = 3
+# At a chunk each 100 ms this lasts 3.2 s, which is longer than the drain takes to begin.
+_LONG_UPLOAD_BYTES = 2048 * KIB
 _ROUTED_S = 20.0
 _CHANGES_UNDER_LOAD: tuple[EditKind, ...] = ("parameter", "template", "parameter", "template")
 _CONTROL_BYTES = "ibiswick_control_bytes_total"
@@ -126,12 +127,11 @@
         self._rig.end_outage(killed, applied[killed].at)
 
     async def _drain(self, vm: str) -> None:
-        """Drain a VM that has calls in flight; its callers keep calling until it has stopped."""
-        deadline = time.monotonic() + _BUSY_S
-        while time.monotonic() < deadline:
-            if (await self._rig.read_metrics(vm))["ibiswick_slots_busy"] >= _BUSY_SLOTS:
-                break
-            await asyncio.sleep(0.05)
+        """Drain a VM with uploads in flight; its callers keep calling until it has stopped."""
+        upload = next(item for item in self._deployment.classes if item.upload_bytes > 64 * KIB)
+        for _ in range(_UPLOADS_AT_DRAIN):
+            # Promise 8 cannot be checked without calls that are in flight when the drain begins.
+            self._load.start_call(upload._replace(upload_bytes=_LONG_UPLOAD_BYTES), vm)
         _say(f"draining {vm}")
         await self._rig.control("drain", vm)
         stopped = await self._rig.wait_events("node-stopped", [vm])
--- a/src/ibiswick/_internal/standins/load.py
+++ b/src/ibiswick/_internal/standins/load.py
@@ -93,10 +93,18 @@
             return
         chosen = self._rng.choices(self._classes, [item.weight for item in self._classes])[0]
         target = self._rng.choice(self.targets)
+        self._begin(chosen, target, due)
+
+    def _begin(self, chosen: CallClass, target: Target, due: float) -> None:
         task = asyncio.create_task(self._make_call(chosen, target, due))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def start_call(self, chosen: CallClass, vm: str) -> None:
+        """Start one more call, through a given node; `run` waits for it too."""
+        target = next(target for target in self.targets if target.vm == vm)
+        self._begin(chosen, target, time.time())
+
     async def probe(self, chosen: CallClass, target: Target) -> Call:
         """Make one call that is not recorded."""
         self._count += 1
--- a/src/ibiswick/_internal/standins/processes.py
+++ b/src/ibiswick/_internal/standins/processes.py
@@ -122,7 +122,9 @@
     try:
         output, errors = await process.communicate()
     except asyncio.CancelledError:
-        process.kill()
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
         raise
     if process.returncode:
         text = f"{output.decode()}{errors.decode()}".strip()
