--- a/src/ibiswick/_internal/standins/demo.py
+++ b/src/ibiswick/_internal/standins/demo.py
@@ -43,6 +43,7 @@
     convergence: list[Convergence]
     control_bytes: Mapping[str, float]
     seconds: float
+    skipped: int = 0
 
 
 async def run_demo(name: str, configuration: Path, *, seed: int, keep: Path | None) -> bool:
@@ -159,6 +160,7 @@
             list_convergence(history, self._deployment.plan.workspace),
             control_bytes,
             seconds,
+            self._load.skipped,
         )
 
 
@@ -175,6 +177,8 @@
         if not verdict.checked
     ]
     served = {call.call_class for call in result.history.calls if call.outcome is Outcome.OK}
+    if result.skipped:
+        faults.append(f"{result.skipped} calls were not made, because too many were outstanding")
     faults += [f"no successful {item.name} call" for item in classes if item.name not in served]
     return faults
 
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -42,6 +42,7 @@
         build_result(verdicts=[BROKEN]),
         build_result(verdicts=[Verdict(1, 0, ())]),
         build_result(calls=[]),
+        build_result()._replace(skipped=1),
         build_result(calls=[SERVED._replace(outcome=Outcome.NOT_RUN)]),
     ],
 )
