Name nodes that are behind only after a second

Cause: an inner node applied a generation before its children did and at once sent a report up the tree that named each of them as behind, about 60 bytes each, and corrected it with the next acknowledgement. A report that names nobody has 53 bytes, one that names 32 nodes 1,815. Children that are behind are counted as before, and named when they still are a second after their parent applied the generation.

--- a/src/ibiswick/_internal/agent.py
+++ b/src/ibiswick/_internal/agent.py
@@ -50,6 +50,9 @@
 # The longest time between two ticks; except for gathered changes, timers are no finer than this.
 TICK_S = 0.25
 FLOOR_RETRY_S = 1.0
+# Children apply a generation after their parent does; naming those that have yet to acknowledge it
+# would send a longer report up the tree with every change, only to correct it a moment later.
+BEHIND_NAMED_AFTER_S = 1.0
 # The endpoint lists are rebuilt at most so often, except when a member leaves.
 ENDPOINTS_GATHER_S = 0.02
 
@@ -101,6 +104,7 @@
         self._endpoints_gate = SendGate(gather_s=min(settings.gather_s, ENDPOINTS_GATHER_S))
         self._endpoints_of: tuple[int, int] = (-1, -1)
         self._relayed_generation = 0
+        self._name_behind_at: float | None = None
         self._floor_at = 0.0
         self._leave_at: float | None = None
         self._report: Report | None = None
@@ -447,6 +451,9 @@
     def _settle(self, now: float) -> None:
         """Do what follows from the event: publish endpoints and send what is due."""
         self.children.tick(now)
+        if self._name_behind_at is not None and now >= self._name_behind_at:
+            self._name_behind_at = None
+            self.ctx.outbox.note(now, at_once=True)
         self._relay(now)
         if self.ctx.outbox.take(now):
             self._flush(now)
@@ -457,6 +464,8 @@
         if snapshot is None or snapshot.generation == self._relayed_generation:
             return
         self._relayed_generation = snapshot.generation
+        if self._name_behind_at is None:
+            self._name_behind_at = now + BEHIND_NAMED_AFTER_S
         self.children.send_snapshots(snapshot.workspace, now)
         self.ctx.outbox.note(now)
 
@@ -479,6 +488,7 @@
                 for child in self.ctx.list_links(Role.CHILD)
                 if child.report is not None
             ],
+            name_behind=self._name_behind_at is None,
         )
         if link is self._report_link and report == self._report:
             return
--- a/src/ibiswick/_internal/reports.py
+++ b/src/ibiswick/_internal/reports.py
@@ -17,8 +17,12 @@
     snapshot: Snapshot | None,
     refusal: Refusal | None,
     children: Iterable[tuple[str, Report]],
+    name_behind: bool = True,
 ) -> Report:
-    """Report a node together with the subtrees of its children (VM and last report)."""
+    """Report a node together with the subtrees of its children (VM and last report).
+
+    Children that are behind are counted in any case, and named if `name_behind` is set.
+    """
     generation = 0 if snapshot is None else snapshot.generation
     reports = list(children)
     own = Report(
@@ -29,7 +33,8 @@
         generations={str(generation): 1},
         exceptions=_describe_refusal(vm, generation, refusal),
     )
-    merged = aggregate_reports([(vm, own), *reports], newest=generation)
+    newest = generation if name_behind else 0
+    merged = aggregate_reports([(vm, own), *reports], newest=newest)
     return own._replace(
         total=merged["total"],
         generations=merged["generations"],
