--- a/src/ibiswick/_internal/agent.py
+++ b/src/ibiswick/_internal/agent.py
@@ -165,7 +165,7 @@
         if link.role is Role.PARENT:
             self.parent.notice_opened(link, now)
         else:
-            self.root.peers.greet(link, now)
+            self.root.peers.send_join(link, now)
         self._settle(now)
 
     def notice_closed(self, number: int, now: float) -> None:
--- a/src/ibiswick/_internal/balance.py
+++ b/src/ibiswick/_internal/balance.py
@@ -1,4 +1,4 @@
-"""Choose the endpoint of an attempt and judge endpoints by what was observed of them."""
+"""Choose the endpoint of an attempt and rate endpoints by what was observed of them."""
 
 from __future__ import annotations
 
--- a/src/ibiswick/_internal/floordesk.py
+++ b/src/ibiswick/_internal/floorresponder.py
@@ -29,7 +29,7 @@
     answers: dict[str, int]
 
 
-class FloorDesk:
+class FloorResponder:
     """Collect floor requests and answer them together.
 
     Rule `head`: a renewal of the own lease after the request proves that this node is still a root,
--- a/src/ibiswick/_internal/oracle.py
+++ b/src/ibiswick/_internal/oracle.py
@@ -320,10 +320,10 @@
         for request_id in on_server | at_caller:
             call = calls.get(request_id)
             if call is not None:
-                yield _judge_stop(stop, call)
+                yield _check_stop(stop, call)
 
 
-def _judge_stop(stop: PlannedStop, call: Call) -> Violation | None:
+def _check_stop(stop: PlannedStop, call: Call) -> Violation | None:
     # A deadline (504) ends a call for its own reason; 502 and a closed connection do not.
     lost = call.outcome is Outcome.CUT_OFF or (
         call.outcome is Outcome.UNKNOWN and call.status != 504
@@ -348,10 +348,10 @@
             in_time = any(item.generation >= change.generation for item in own if item.at <= due)
             detail = f"{vm} did not have generation {change.generation} within {bound_s:g} s"
             yield None if in_time else Violation(9, detail, (change, *own[-2:]))
-        yield _judge_end(history, vm, workspace, own, bound_s)
+        yield _check_end(history, vm, workspace, own, bound_s)
 
 
-def _judge_end(
+def _check_end(
     history: History, vm: str, workspace: str, own: Sequence[Applied], bound_s: float
 ) -> Violation | None:
     changes = [
--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/outbound.py
@@ -361,7 +361,7 @@
         if attempt.outcome in (Outcome.LOST, Outcome.TIMEOUT):
             call.maybe_ran = True
             call.timed_out = attempt.outcome is Outcome.TIMEOUT
-        self._judge(balancer, state, attempt, now)
+        self._note_outcome(balancer, state, attempt, now)
         return attempt
 
     async def _send(
@@ -458,7 +458,7 @@
             await_continue=True,
         )
 
-    def _judge(
+    def _note_outcome(
         self, balancer: Balancer, state: EndpointState, attempt: Attempt, started: float
     ) -> None:
         """Note what an attempt says about its endpoint."""
--- a/src/ibiswick/_internal/peers.py
+++ b/src/ibiswick/_internal/peers.py
@@ -50,7 +50,7 @@
                 self._ctx.close(link, "no longer a root")
         self._send_interests(now)
 
-    def greet(self, link: Link, now: float) -> None:
+    def send_join(self, link: Link, now: float) -> None:
         """Send the first message on a link that this node opened."""
         self._ctx.send(link, self._build_join(link), now)
 
--- a/src/ibiswick/_internal/root.py
+++ b/src/ibiswick/_internal/root.py
@@ -11,7 +11,7 @@
 from .context import SELF, Context, Link, Role
 from .directory import Directory, format_lease_key
 from .errors import ConflictError, IbiswickError, OutcomeUnknownError
-from .floordesk import FloorDesk
+from .floorresponder import FloorResponder
 from .headreader import HeadReader
 from .leases import LeaseKeeper, LeaseStep
 from .messages import Drain, FloorRequest, Promote
@@ -77,7 +77,7 @@
             list_carried=self.list_carried,
             notice_unlisted=self._notice_unlisted,
         )
-        self.floors = FloorDesk(
+        self.floors = FloorResponder(
             ctx,
             directory=directory,
             heads=self.heads,
