Test the certificate identity on real control links

The check of a join against the peer's certificate was tested on the state machine only, never with TLS on a socket. The tests had two certificate authorities; one in tests/certificates.py serves all now.

--- a/tests/test_call_sockets.py
+++ b/tests/test_call_sockets.py
@@ -3,21 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import datetime
 import hashlib
 import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import pytest
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.hazmat.primitives.serialization import Encoding, NoEncryption, PrivateFormat
 
 from builders import build_policy, build_route
 from call_network import Client, request
+from certificates import Authority
 from ibiswick._internal.blackboard import Blackboard
 from ibiswick._internal.dataplane import DataPlane
 from ibiswick._internal.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
@@ -520,50 +515,6 @@
 # TLS
 
 
-class Authority:
-    """Issue certificates to nodes, and write them to files."""
-
-    def __init__(self, directory: Path) -> None:
-        self._directory = directory
-        self._key = ec.generate_private_key(ec.SECP256R1())
-        self._name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "authority")])
-        self._write("authority.crt", self._sign(self._name, self._key, "urn:authority", ca=True))
-
-    def _sign(self, name: x509.Name, key: Any, uri: str, *, ca: bool = False) -> bytes:
-        now = datetime.datetime.now(datetime.UTC)
-        names = x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)])
-        builder = (
-            x509.CertificateBuilder()
-            .subject_name(name)
-            .issuer_name(self._name)
-            .public_key(key.public_key())
-            .serial_number(x509.random_serial_number())
-            .not_valid_before(now - datetime.timedelta(hours=1))
-            .not_valid_after(now + datetime.timedelta(hours=1))
-            .add_extension(x509.BasicConstraints(ca=ca, path_length=None), critical=True)
-            .add_extension(names, critical=False)
-        )
-        return builder.sign(self._key, hashes.SHA256()).public_bytes(Encoding.PEM)
-
-    def _write(self, name: str, content: bytes) -> str:
-        path = self._directory / name
-        path.write_bytes(content)
-        return str(path)
-
-    def issue(self, vm: str, workspace: str) -> TlsSettings:
-        """Return the settings of one node."""
-        key = ec.generate_private_key(ec.SECP256R1())
-        name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, vm)])
-        certificate = self._sign(name, key, f"ibiswick://{workspace}/{vm}")
-        secret = key.private_bytes(Encoding.PEM, PrivateFormat.PKCS8, NoEncryption())
-        stem = f"{workspace}-{vm}"
-        return TlsSettings(
-            self._write(f"{stem}.crt", certificate),
-            self._write(f"{stem}.key", secret),
-            str(self._directory / "authority.crt"),
-        )
-
-
 async def test_the_peer_port_wants_a_certificate_of_its_workspace(tmp_path: Path) -> None:
     """Guard against calls from outside the mesh or from another workspace, and to another VM."""
     authority = Authority(tmp_path)
@@ -571,7 +522,7 @@
     await site.start(tls=authority.issue("vm-1", "yorgan"))
     site.board.floor_confirmed.set(True)
     assert site.node is not None
-    plain = ssl.create_default_context(cafile=str(tmp_path / "authority.crt"))
+    plain = ssl.create_default_context(cafile=authority.path)
     plain.check_hostname = False
     foreign = build_client_context(authority.issue("vm-1", "bakony"))
     own = build_client_context(authority.issue("vm-2", "yorgan"))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,10 +4,12 @@
 import random
 
 import cbor2
+import pytest
 from websockets.asyncio.client import connect
-from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import ConnectionClosed, InvalidMessage
 
 from builders import build_member, build_policy, build_route
+from certificates import Authority
 from fakes import FakePlatform
 from ibiswick._internal.blackboard import Blackboard
 from ibiswick._internal.control import ControlPlane
@@ -21,6 +23,7 @@
 from ibiswick._internal.records import Phase
 from ibiswick._internal.settings import Address
 from ibiswick._internal.snapshots import build_snapshot, encode_snapshot
+from ibiswick._internal.tls import build_client_context
 from simulation import build_settings
 
 # A hang fails the test after this time; nothing else depends on it.
@@ -53,8 +56,7 @@
             directory_jitter_s=0.05,
             heartbeat_s=0.2,
             leave_notice_s=0.2,
-            allow_plaintext=True,
-            **changes,
+            **{"allow_plaintext": True, **changes},
         )
         self.plane = ControlPlane(
             settings=settings, board=self.board, platform=platform, random=random.Random(vm)
@@ -119,6 +121,39 @@
                 pass
 
 
+async def test_links_need_the_identity_that_the_join_names(tmp_path):
+    """Guard against a node that joins in the name of another, and against one without TLS."""
+    authority = Authority(tmp_path)
+    platform = FakePlatform()
+    root = RealNode(platform, "a", zone_roots=1, tls=authority.issue("a"))
+    async with asyncio.timeout(LIMIT_S):
+        await accept_generation(platform, 1)
+        await root.plane.start()
+        await root.wait_generation(1)
+        address = Address("127.0.0.1", root.plane.port)
+        node = RealNode(platform, "bb", zone_roots=1, tls=authority.issue("bb"), seeds=(address,))
+        await node.plane.start()
+        await node.wait_generation(1)
+        await root.wait_offered(["a", "bb"])
+        join = encode_message(Join(PROTOCOL_VERSION, build_member(vm="ccc"), 0, ""))
+        for identity in (("dddd", "yorgan"), ("ccc", "bakony")):
+            context = build_client_context(authority.issue(*identity))
+            async with connect(f"wss://127.0.0.1:{address.port}/", ssl=context) as peer:
+                await peer.send(join)
+                await peer.wait_closed()
+        stranger = Authority(tmp_path, "other").issue("ccc")
+        trusting = build_client_context(stranger._replace(authority=authority.path))
+        with pytest.raises((OSError, ConnectionClosed, InvalidMessage)):
+            async with connect(f"wss://127.0.0.1:{address.port}/", ssl=trusting) as peer:
+                await peer.recv()
+        with pytest.raises((OSError, InvalidMessage)):
+            await connect(f"ws://127.0.0.1:{address.port}/")
+        await node.plane.stop()
+        await root.plane.stop()
+    assert root.plane.messages_in["Join"] == 3
+    assert root.plane.messages_out["Accept"] == 1
+
+
 async def test_control_plane_can_be_switched_off():
     """Guard against a control share that is measured with the control plane running."""
     platform = FakePlatform()
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -8,7 +8,7 @@
 import httpx
 import pytest
 
-from certificates import write_identity
+from certificates import Authority
 from fakes import FakeClock, FakePlatform
 from ibiswick._internal import api, tokens
 from ibiswick._internal.api import create_app, open_listener, serve_admin, serve_app
@@ -101,11 +101,11 @@
 
 async def test_tls_shows_the_settings_identity(tmp_path):
     """Guards against an API that a client with the right authority cannot verify."""
-    settings = SETTINGS._replace(tls=write_identity(tmp_path), allow_plaintext=False)
+    settings = SETTINGS._replace(tls=Authority(tmp_path).issue("admin"), allow_plaintext=False)
     async with serve(settings) as (host, port):
         for authority, expected in [
             (settings.tls.authority, ApiRefusedError),
-            (write_identity(tmp_path, "other").authority, ApiUnavailableError),
+            (Authority(tmp_path, "other").path, ApiUnavailableError),
         ]:
             connection = Connection(f"https://{host}:{port}", "x.y", authority)
             async with ApiClient(connection=connection, sleep=FakeClock().sleep) as client:
