Tell a passed deadline from a call that a drain cut off

The trace shows no cut: the call used 0.2988 s of its deadline of 0.3 s. Two nodes of two slots were left for four slow deposits; it waited in the queues of both and its deadline passed while it ran, which the answer says truthfully (504). Ruled out: reused ports, and the drained node, which had none of its calls.

The check now allows an unknown outcome only as a 504 of a call that used its whole deadline, less the margins of two hops; before, it allowed none, and it still allows none for uploads. The example is a test of its own.

--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -164,6 +164,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.done: asyncio.Future[None] = loop.create_future()
+        self.started_at = loop.time()
+        self.finished_at = self.started_at
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
@@ -197,6 +199,7 @@
 
     def _finish(self) -> None:
         if not self.done.done():
+            self.finished_at = self.done.get_loop().time()
             self.done.set_result(None)
 
 
--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import Counter
 from typing import Any, NamedTuple
@@ -26,7 +27,7 @@
 from ibiswick._internal.pool import Connection
 from ibiswick._internal.records import Endpoint, Snapshot
 from ibiswick._internal.records import Phase as NodePhase
-from ibiswick._internal.retries import Outcome, RetryDecision
+from ibiswick._internal.retries import DEADLINE_MARGIN_S, Outcome, RetryDecision
 from ibiswick._internal.serving import KEEP_ALIVE_S, bind_socket
 from ibiswick._internal.settings import Address, NodeSettings, PlatformSettings
 
@@ -42,6 +43,7 @@
     build_route(id="deposit", prefix="/deposit", idempotent=False, deadline_ms=300),
     build_route(id="upload", prefix="/upload", idempotent=False, kind="upload"),
 )
+DEADLINES_S = {"status": 0.6, "deposit": 0.3}
 # What a backend server does with one execution of a call.
 BEHAVIOURS = ("answer", "slow", "late", "crash-before", "crash-after", "cut", "surplus", "shed")
 
@@ -408,8 +410,13 @@
             continue
         assert client is not None, f"promise 8: call {number} found no node"
         assert client.complete, f"promise 8: call {number} was cut off"
-        outcome = client.headers.get("ibiswick-outcome")
-        assert outcome != "unknown", f"promise 8: call {number} has no outcome"
+        if client.headers.get("ibiswick-outcome") == "unknown":
+            # Fewer nodes may leave a call so little of its own deadline that it passes while the
+            # backend server works; a call that still had time must not end like that.
+            used_s = client.finished_at - client.started_at
+            allowed_s = DEADLINES_S.get(plan.kind, math.inf) - 2 * DEADLINE_MARGIN_S
+            assert client.status == 504, f"promise 8: call {number} has no outcome"
+            assert used_s >= allowed_s, f"promise 8: call {number} gave up after {used_s} s"
 
 
 @given(plans=QUIET_PLANS, at_ms=st.integers(0, 320), node=st.integers(0, NODES - 1))
@@ -419,6 +426,25 @@
     check_drain(plans, at_ms, node)
 
 
+def test_drain_may_leave_a_call_too_little_time() -> None:
+    """Guard against a check that takes a passed deadline for a call that the drain cut off.
+
+    Found by `make fuzz SEED=500`: four slow deposits meet two nodes of two slots each, one of them
+    waits for both in turn, and its deadline of 0.3 s passes while it runs.
+    """
+    plans = [
+        Plan(185, 1, "status", ("slow",)),
+        Plan(245, 2, "status", ("answer",)),
+        Plan(209, 0, "deposit", ("slow",)),
+        Plan(209, 0, "deposit", ("slow",)),
+        Plan(255, 2, "upload", ("slow",)),
+        Plan(209, 0, "deposit", ("slow",)),
+        Plan(209, 0, "deposit", ("slow",)),
+        Plan(241, 0, "upload", ("answer",)),
+    ]
+    check_drain(plans, 191, 2)
+
+
 def test_stop_without_waiting_is_caught() -> None:
     """Guard against a checker that misses a call cut off by a planned stop."""
 
