--- a/src/ibiswick/_internal/links.py
+++ b/src/ibiswick/_internal/links.py
@@ -7,7 +7,7 @@
 import ssl
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -31,6 +31,18 @@
 _logger.addHandler(logging.NullHandler())
 _logger.propagate = False
 
+# What both ends of a link set.
+_OPTIONS: dict[str, Any] = {
+    # Messages are too small to gain from it, and it costs memory for each link.
+    "compression": None,
+    # Heartbeats of the protocol detect silent peers.
+    "ping_interval": None,
+    "max_size": MAX_MESSAGE_BYTES,
+    "open_timeout": OPEN_TIMEOUT_S,
+    "close_timeout": CLOSE_TIMEOUT_S,
+    "logger": _logger,
+}
+
 
 class LinkEvents(Protocol):
     """Receive what happens on links."""
@@ -126,15 +138,9 @@
             connection = await connect(
                 f"{scheme}://{address.host}:{address.port}/",
                 ssl=context,
-                compression=None,
-                # Heartbeats of the protocol detect silent peers.
-                ping_interval=None,
-                max_size=MAX_MESSAGE_BYTES,
-                open_timeout=OPEN_TIMEOUT_S,
-                close_timeout=CLOSE_TIMEOUT_S,
+                **_OPTIONS,
                 user_agent_header=None,
                 proxy=None,
-                logger=_logger,
             )
             self._connection = connection
             if self._read_identity(connection, context is not None):
@@ -209,13 +215,8 @@
         address.host,
         address.port,
         ssl=context,
-        compression=None,
-        ping_interval=None,
-        max_size=MAX_MESSAGE_BYTES,
-        open_timeout=OPEN_TIMEOUT_S,
-        close_timeout=CLOSE_TIMEOUT_S,
         server_header=None,
-        logger=_logger,
+        **_OPTIONS,
     )
 
 
