Remove functions and constants that nothing uses

Cause: a search for names that stand only at their definition found is_below, list_holders and two platform shares. The shares looked like the figures in force, but the settings decide them, so a reader could have changed them without effect; the settings now point to the design page. Ruled out: authenticate_request, which litestar calls.

--- a/src/ibiswick/_internal/budgets.py
+++ b/src/ibiswick/_internal/budgets.py
@@ -13,9 +13,6 @@
 
 T = TypeVar("T")
 
-# Shares of the platform's capacity by role; docs/design.md, "Platform budget".
-ROOT_CALLS_PER_S = 20.0
-ADMIN_WRITES_PER_S = 100.0
 # A call that would wait longer than this for its share fails instead, so that queues stay short.
 MAX_WAIT_S = 5.0
 
--- a/src/ibiswick/_internal/leases.py
+++ b/src/ibiswick/_internal/leases.py
@@ -57,10 +57,6 @@
         if known is None or known.version != version:
             self._seen[index] = _Observation(version, lease, now)
 
-    def list_holders(self) -> dict[int, Lease]:
-        """Return the leases as last observed, by index."""
-        return {i: seen.lease for i, seen in self._seen.items() if seen.lease is not None}
-
     def list_expired(self, now: float) -> list[int]:
         """Return the indexes of leases that are missing or expired."""
         return [
--- a/src/ibiswick/_internal/relay.py
+++ b/src/ibiswick/_internal/relay.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
 
-from .membership import Entry
 from .messages import DeltaSnapshot, FullSnapshot
 from .records import Snapshot
 from .snapshots import compute_delta
@@ -77,8 +75,3 @@
     if snapshot is None:
         return frozenset()
     return frozenset(route["service"] for route in snapshot.routes)
-
-
-def is_below(entry: Entry, links: Iterable[int]) -> bool:
-    """Tell whether a member is reached by one of the links."""
-    return entry.via in links
--- a/src/ibiswick/_internal/settings.py
+++ b/src/ibiswick/_internal/settings.py
@@ -40,7 +40,10 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Locate the platform's object API."""
+    """Locate the platform's object API.
+
+    `calls_per_s` is the share of this process; docs/design.md, "Platform budget", lists all shares.
+    """
 
     url: str
     calls_per_s: Seconds = 20.0
