--- /dev/null
+++ b/src/ibiswick/_internal/administration/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the administration API."""
--- a/src/ibiswick/_internal/access.py
+++ b/src/ibiswick/_internal/administration/access.py
@@ -7,16 +7,16 @@
 from collections.abc import Awaitable, Callable, Collection
 from typing import Any, TypeVar
 
-from .audits import AuditEntry, AuditState, AuditTrail, build_entry
-from .budgets import TokenBucket
-from .errors import (
+from ..shared.budgets import TokenBucket
+from ..shared.errors import (
     ConflictError,
     ForbiddenError,
     IbiswickError,
     InvalidInputError,
     OutcomeUnknownError,
 )
-from .logs import EventLog
+from ..shared.logs import EventLog
+from .audits import AuditEntry, AuditState, AuditTrail, build_entry
 from .tokens import Action, TokenRecord, require
 
 T = TypeVar("T")
--- a/src/ibiswick/_internal/api.py
+++ b/src/ibiswick/_internal/administration/api.py
@@ -25,6 +25,13 @@
 from litestar.openapi import OpenAPIConfig
 from litestar.openapi.plugins import JsonRenderPlugin
 
+from ..configuration.changes import Acceptor
+from ..shared.budgets import BudgetedPlatform, TokenBucket
+from ..shared.errors import Problem, SettingsError, UnauthenticatedError
+from ..shared.logs import EventLog
+from ..shared.objectapi import Platform
+from ..shared.settings import AdminSettings
+from ..shared.tls import build_server_context
 from .access import AccessControl
 from .api_changes import ChangeController, ChangeService
 from .api_documents import DocumentController, DocumentService
@@ -32,14 +39,7 @@
 from .api_fleet import FleetController, FleetService
 from .api_tokens import TokenController, TokenService
 from .audits import AuditTrail
-from .budgets import BudgetedPlatform, TokenBucket
-from .changes import Acceptor
-from .errors import Problem, SettingsError, UnauthenticatedError
 from .fleet import FleetReader
-from .logs import EventLog
-from .platform import Platform
-from .settings import AdminSettings
-from .tls import build_server_context
 from .tokens import TokenStore, TokenVerifier
 
 MAX_BODY_BYTES = 1_000_000
@@ -138,7 +138,7 @@
 
 async def serve_admin(settings: AdminSettings, *, stop: asyncio.Event) -> None:
     """Serve the administration API until `stop` is set; requests in flight are finished."""
-    from .platform_httpx import connect_platform
+    from ..shared.objectapi_httpx import connect_platform
 
     check_transport(settings)
     listener = open_listener(settings)
--- a/src/ibiswick/_internal/api_changes.py
+++ b/src/ibiswick/_internal/administration/api_changes.py
@@ -10,13 +10,13 @@
 from litestar.exceptions import ValidationException
 from litestar.params import FromPath, FromQuery, JSONBody
 
+from ..configuration.changes import Acceptor, ChangeRequest, ChangeResult
+from ..configuration.plans import list_touched
+from ..shared.errors import InvalidInputError, NotFoundError, Problem
+from ..shared.records import ChangeRecord
 from .access import AccessControl
 from .api_models import ChangeBody, ChangeView, PageView, RollbackBody
 from .audits import CURSOR_PATTERN, MAX_PAGE, AuditEntry, AuditTrail
-from .changes import Acceptor, ChangeRequest, ChangeResult
-from .errors import InvalidInputError, NotFoundError, Problem
-from .plans import list_touched
-from .records import ChangeRecord
 from .tokens import Action, TokenRecord, authorize, can_see
 
 # Accepted changes are looked up by id for retries and audit entries, which are recent. At the
--- a/src/ibiswick/_internal/api_client.py
+++ b/src/ibiswick/_internal/administration/api_client.py
@@ -10,7 +10,7 @@
 
 import httpx
 
-from .errors import IbiswickError, Problem
+from ..shared.errors import IbiswickError, Problem
 
 TIMEOUT_S = 10.0
 # A change whose answer was lost is sent again with the same change id, after these delays.
--- a/src/ibiswick/_internal/api_documents.py
+++ b/src/ibiswick/_internal/administration/api_documents.py
@@ -7,11 +7,11 @@
 from litestar import Controller, Request, get
 from litestar.params import FromPath
 
+from ..configuration.changes import Acceptor
+from ..shared.errors import NotFoundError
+from ..shared.records import Manifest
 from .access import AccessControl
 from .api_models import DocumentView, ItemsView
-from .changes import Acceptor
-from .errors import NotFoundError
-from .records import Manifest
 from .tokens import Action, TokenRecord, can_see
 
 
--- a/src/ibiswick/_internal/api_errors.py
+++ b/src/ibiswick/_internal/administration/api_errors.py
@@ -8,10 +8,10 @@
 from litestar import MediaType, Request, Response
 from litestar.exceptions import HTTPException
 
+from ..shared.errors import ChangeConflictError, IbiswickError, InvalidInputError
+from ..shared.logs import EventLog
+from ..shared.records import DocumentConflict
 from .api_models import ConflictView, ErrorView
-from .errors import ChangeConflictError, IbiswickError, InvalidInputError
-from .logs import EventLog
-from .records import DocumentConflict
 
 STATUS_BY_CODE = {
     "invalid-input": 400,
--- a/src/ibiswick/_internal/api_fleet.py
+++ b/src/ibiswick/_internal/administration/api_fleet.py
@@ -9,6 +9,10 @@
 from litestar import Controller, Request, delete, get, post
 from litestar.params import FromPath, FromQuery
 
+from ..configuration.changes import Acceptor
+from ..shared.errors import NotFoundError
+from ..shared.objectapi import Platform
+from ..shared.records import Head, Member
 from .access import AccessControl
 from .api_models import (
     DrainView,
@@ -18,11 +22,7 @@
     StatusView,
     WorkspaceStatusView,
 )
-from .changes import Acceptor
-from .errors import NotFoundError
 from .fleet import DRAIN_PREFIX, DrainRequest, FleetReader
-from .platform import Platform
-from .records import Head, Member
 from .status import (
     ChangeStatus,
     RootStatus,
--- a/src/ibiswick/_internal/api_models.py
+++ b/src/ibiswick/_internal/administration/api_models.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .records import NodeException
+from ..shared.records import NodeException
 
 Identifier = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Note = Annotated[str, msgspec.Meta(max_length=2000)]
--- a/src/ibiswick/_internal/api_tokens.py
+++ b/src/ibiswick/_internal/administration/api_tokens.py
@@ -9,9 +9,9 @@
 from litestar import Controller, Request, delete, get, post
 from litestar.params import FromPath, JSONBody
 
+from ..shared.errors import NotFoundError
 from .access import AccessControl
 from .api_models import NewTokenView, TokenBody, TokensView, TokenView
-from .errors import NotFoundError
 from .tokens import (
     ALL_WORKSPACES,
     Action,
--- a/src/ibiswick/_internal/audits.py
+++ b/src/ibiswick/_internal/administration/audits.py
@@ -7,9 +7,9 @@
 from datetime import UTC, datetime
 from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
-from .errors import OutcomeUnknownError, PlatformError
-from .logs import EventLog
-from .platform import Platform
+from ..shared.errors import OutcomeUnknownError, PlatformError
+from ..shared.logs import EventLog
+from ..shared.objectapi import Platform
 
 AUDIT_PREFIX = "audit/"
 # Longer than any attempt lasts: the platform's time-outs end an attempt within seconds. An attempt
--- a/src/ibiswick/_internal/documents.py
+++ b/src/ibiswick/_internal/administration/documents.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from .digests import compute_digest
-from .errors import InvalidInputError, Problem
-from .platform import MAX_VALUE_BYTES
+from ..shared.digests import compute_digest
+from ..shared.errors import InvalidInputError, Problem
+from ..shared.objectapi import MAX_VALUE_BYTES
 from .tokens import NAME_PATTERN
 
 Kind = Literal["template", "workspace"]
--- a/src/ibiswick/_internal/fleet.py
+++ b/src/ibiswick/_internal/administration/fleet.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
+from ..shared.logs import EventLog
+from ..shared.objectapi import Platform, StoredObject
+from ..shared.records import Lease, Member, MemberState, RootReport
 from .listings import read_all
-from .logs import EventLog
-from .platform import Platform, StoredObject
-from .records import Lease, Member, MemberState, RootReport
 from .status import Leases, LeaseTracker
 
 T = TypeVar("T")
--- a/src/ibiswick/_internal/listings.py
+++ b/src/ibiswick/_internal/administration/listings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .platform import Platform, StoredObject
+from ..shared.objectapi import Platform, StoredObject
 
 PAGE_SIZE = 1000
 
--- a/src/ibiswick/_internal/status.py
+++ b/src/ibiswick/_internal/administration/status.py
@@ -6,8 +6,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
-from .platform import StoredObject
-from .records import Head, Lease, Manifest, NodeException, RootReport
+from ..shared.objectapi import StoredObject
+from ..shared.records import Head, Lease, Manifest, NodeException, RootReport
 
 # A live holder renews every 2 s and is replaced after 6 s. A lease that this process has seen
 # unchanged for longer belongs to an availability zone in which no node can reach the platform.
--- a/src/ibiswick/_internal/tokens.py
+++ b/src/ibiswick/_internal/administration/tokens.py
@@ -13,7 +13,7 @@
 from enum import IntEnum, StrEnum
 from typing import Any, NamedTuple
 
-from .errors import (
+from ..shared.errors import (
     ForbiddenError,
     InvalidInputError,
     OutcomeUnknownError,
@@ -21,8 +21,8 @@
     Problem,
     UnauthenticatedError,
 )
+from ..shared.objectapi import MUST_NOT_EXIST, Platform
 from .listings import read_all
-from .platform import MUST_NOT_EXIST, Platform
 
 TOKEN_PREFIX = "tokens/"
 ALL_WORKSPACES = "*"
--- /dev/null
+++ b/src/ibiswick/_internal/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Carry calls."""
--- a/src/ibiswick/_internal/answers.py
+++ b/src/ibiswick/_internal/calls/answers.py
@@ -4,12 +4,12 @@
 
 from typing import NamedTuple
 
+from ..shared.blackboard import Blackboard
+from ..shared.errors import ResponseLostError
+from ..shared.records import Phase
 from .admission import format_retry_after
-from .blackboard import Blackboard
-from .errors import ResponseLostError
 from .heads import OUTCOME, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from .pool import ExchangeResponse, Headers
-from .records import Phase
 from .serving import AbortResponseError, ServerRequest, encode_problem
 
 
--- a/src/ibiswick/_internal/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from .records import Endpoint, ServicePolicy
+from ..shared.records import Endpoint, ServicePolicy
 
 # A reported load older than this says nothing about the present.
 LOAD_FRESH_S = 1.0
--- a/src/ibiswick/_internal/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from .metrics import define_counter
+from ..shared.metrics import define_counter
 
 _DOCS = {
     "ibiswick_calls_total": "Calls by what became of them on the caller port.",
--- a/src/ibiswick/_internal/dataplane.py
+++ b/src/ibiswick/_internal/calls/dataplane.py
@@ -10,18 +10,18 @@
 
 import msgspec
 
-from .blackboard import Blackboard
+from ..shared.blackboard import Blackboard
+from ..shared.errors import ExchangeError, NotSentError
+from ..shared.logs import EventLog
+from ..shared.metrics import define_gauge, render_metrics
+from ..shared.records import BackendHealth, Phase
+from ..shared.settings import NodeSettings
+from ..shared.tls import build_client_context, build_server_context, parse_identity
 from .callcounts import CallCounts
-from .errors import ExchangeError, NotSentError
 from .inbound import Inbound
-from .logs import EventLog
-from .metrics import define_gauge, render_metrics
 from .outbound import Outbound
 from .pool import Limits, Pool, PoolFetch, Remote, Request
-from .records import BackendHealth, Phase
 from .serving import Listener, ServerRequest
-from .settings import NodeSettings
-from .tls import build_client_context, build_server_context, parse_identity
 
 METRICS_FORMAT = "text/plain"
 PROBE_INTERVAL_S = 1.0
--- a/src/ibiswick/_internal/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -8,6 +8,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from ..shared.blackboard import Blackboard
+from ..shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from ..shared.logs import EventLog
+from ..shared.records import Phase, Snapshot
 from .admission import Admitted, Queued, Refused, SlotQueue
 from .answers import (
     Answer,
@@ -18,10 +22,8 @@
     pass_response,
     send_answer,
 )
-from .blackboard import Blackboard
 from .bodies import MAX_REPLAY_BYTES, RequestBody
 from .callcounts import CallCounts
-from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
 from .heads import (
     CALL,
     DEADLINE,
@@ -34,9 +36,7 @@
     read_response_head,
     write_framing,
 )
-from .logs import EventLog
 from .pool import Exchange, ExchangeResponse, Headers, Limits, Remote, Request
-from .records import Phase, Snapshot
 from .serving import AbortResponseError, ServerRequest
 
 ALIVE_WITHIN_S = 1.0
--- a/src/ibiswick/_internal/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -10,6 +10,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..shared.blackboard import Blackboard
+from ..shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from ..shared.logs import EventLog
+from ..shared.records import Phase, Route, ServicePolicy, Snapshot
 from .answers import (
     Answer,
     build_answer,
@@ -20,10 +24,8 @@
     send_answer,
 )
 from .balance import Balancer, EndpointState, HealthChange
-from .blackboard import Blackboard
 from .bodies import MAX_REPLAY_BYTES, RequestBody
 from .callcounts import CallCounts
-from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
 from .heads import (
     CALL,
     DEADLINE,
@@ -38,9 +40,7 @@
     read_response_head,
     write_framing,
 )
-from .logs import EventLog
 from .pool import ConnectionsBusyError, Exchange, ExchangeResponse, Limits, Remote, Request
-from .records import Phase, Route, ServicePolicy, Snapshot
 from .retries import (
     Outcome,
     RetryBudget,
--- a/src/ibiswick/_internal/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -18,9 +18,9 @@
 
 import httptools
 
-from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from ..shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from ..shared.objectapi import FetchResponse
 from .parts import Parts
-from .platform import FetchResponse
 
 CONNECT_TIMEOUT_S = 0.3
 DEFAULT_CONNECTIONS = 128
--- a/src/ibiswick/_internal/routes.py
+++ b/src/ibiswick/_internal/calls/routes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from .records import Route
+from ..shared.records import Route
 
 ANY_HOST = "*"
 
--- a/src/ibiswick/_internal/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -19,7 +19,7 @@
 import httptools
 import msgspec
 
-from .logs import EventLog
+from ..shared.logs import EventLog
 from .parts import Parts
 
 # Longer than the idle limit of the nodes' own pools, so that these close first.
--- a/src/ibiswick/_internal/commands/admin.py
+++ b/src/ibiswick/_internal/commands/admin.py
@@ -12,10 +12,7 @@
 
 import cyclopts
 
-from ..errors import IbiswickError
-from ..logs import install_handler
-from ..settings import AdminSettings, load_settings
-from ..tokens import (
+from ..administration.tokens import (
     ALL_WORKSPACES,
     TokenStore,
     create_token,
@@ -23,6 +20,9 @@
     format_role,
     parse_role,
 )
+from ..shared.errors import IbiswickError
+from ..shared.logs import install_handler
+from ..shared.settings import AdminSettings, load_settings
 from .ctl_support import format_time
 
 FAILURE = 1
@@ -43,7 +43,7 @@
     settings
         File with the settings.
     """
-    from ..api import serve_admin
+    from ..administration.api import serve_admin
 
     loaded = load_settings(AdminSettings, settings)
     install_handler(level=loaded.log_level, program=PROGRAM)
@@ -117,7 +117,7 @@
 
 
 async def _with_store(path: Path, operation: Callable[[TokenStore], Awaitable[Any]]) -> Any:
-    from ..platform_httpx import connect_platform
+    from ..shared.objectapi_httpx import connect_platform
 
     settings = load_settings(AdminSettings, path)
     platform, fetch = connect_platform(settings.platform, caller=PROGRAM)
--- a/src/ibiswick/_internal/commands/backend.py
+++ b/src/ibiswick/_internal/commands/backend.py
@@ -9,7 +9,7 @@
 import uvicorn
 import uvloop
 
-from ..logs import EventLog, install_handler
+from ..shared.logs import EventLog, install_handler
 from ..standins.backend import BackendServer, BackendSettings, limit_connections
 
 app = cyclopts.App(name="ibiswick-backend", help="Stand in for a backend server.")
--- a/src/ibiswick/_internal/commands/ctl_apply.py
+++ b/src/ibiswick/_internal/commands/ctl_apply.py
@@ -8,8 +8,8 @@
 
 from cyclopts import Parameter
 
-from ..api_client import ApiClient
-from ..documents import (
+from ..administration.api_client import ApiClient
+from ..administration.documents import (
     Difference,
     Digests,
     DocumentKey,
--- a/src/ibiswick/_internal/commands/ctl_support.py
+++ b/src/ibiswick/_internal/commands/ctl_support.py
@@ -15,8 +15,8 @@
 import httpx
 from cyclopts import Parameter
 
-from ..api_client import ApiClient, ApiRefusedError, Connection
-from ..errors import IbiswickError, InvalidInputError, Problem
+from ..administration.api_client import ApiClient, ApiRefusedError, Connection
+from ..shared.errors import IbiswickError, InvalidInputError, Problem
 
 
 class ExitCode(IntEnum):
--- a/src/ibiswick/_internal/commands/ctl_validate.py
+++ b/src/ibiswick/_internal/commands/ctl_validate.py
@@ -7,9 +7,9 @@
 
 from cyclopts import Parameter
 
-from ..compiler import check_template, compile_workspace
-from ..documents import Documents, read_documents
-from ..errors import InvalidInputError, Problem
+from ..administration.documents import Documents, read_documents
+from ..configuration.compiler import check_template, compile_workspace
+from ..shared.errors import InvalidInputError, Problem
 from .ctl_support import ExitCode, print_json, run_command
 
 
--- a/src/ibiswick/_internal/commands/ctl_wait.py
+++ b/src/ibiswick/_internal/commands/ctl_wait.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any, NamedTuple
 
-from ..api_client import ApiClient, ApiUnavailableError
+from ..administration.api_client import ApiClient, ApiUnavailableError
 
 FIRST_POLL_S = 0.1
 LONGEST_POLL_S = 1.0
--- a/src/ibiswick/_internal/commands/ctl_workspaces.py
+++ b/src/ibiswick/_internal/commands/ctl_workspaces.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..api_client import quote
+from ..administration.api_client import quote
 from .ctl_support import ExitCode, Options, open_client, print_json, print_table, run_command
 
 
--- a/src/ibiswick/_internal/commands/load_run.py
+++ b/src/ibiswick/_internal/commands/load_run.py
@@ -7,9 +7,9 @@
 import msgspec
 import uvloop
 
-from ..oracle import Call
 from ..standins.deployments import DEPLOYMENTS
 from ..standins.load import LoadGenerator, Target, summarize
+from ..standins.oracle import Call
 from ..standins.tables import format_calls
 
 
--- a/src/ibiswick/_internal/commands/node.py
+++ b/src/ibiswick/_internal/commands/node.py
@@ -14,15 +14,15 @@
 
 import uvloop
 
-from ..blackboard import Blackboard
-from ..budgets import BudgetedPlatform, TokenBucket
-from ..control import ControlPlane
-from ..dataplane import DataPlane
-from ..errors import IbiswickError, Problem, SettingsError
-from ..logs import EventLog, install_handler
-from ..platform import HttpPlatform
-from ..records import Phase
-from ..settings import NodeSettings, load_settings
+from ..calls.dataplane import DataPlane
+from ..control.plane import ControlPlane
+from ..shared.blackboard import Blackboard
+from ..shared.budgets import BudgetedPlatform, TokenBucket
+from ..shared.errors import IbiswickError, Problem, SettingsError
+from ..shared.logs import EventLog, install_handler
+from ..shared.objectapi import HttpPlatform
+from ..shared.records import Phase
+from ..shared.settings import NodeSettings, load_settings
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_FAILED = 1
@@ -124,7 +124,7 @@
     if settings.admin is None:
         return None
     # Imports litestar, which a node without this role must not pay for.
-    from ..api import serve_admin
+    from ..administration.api import serve_admin
 
     return asyncio.ensure_future(serve_admin(settings.admin, stop=stop))
 
--- a/src/ibiswick/_internal/commands/platform.py
+++ b/src/ibiswick/_internal/commands/platform.py
@@ -7,7 +7,7 @@
 import cyclopts
 import uvicorn
 
-from ..logs import EventLog, install_handler
+from ..shared.logs import EventLog, install_handler
 from ..standins.platform import PlatformApplication
 
 app = cyclopts.App(name="ibiswick-platform", help=__doc__)
--- /dev/null
+++ b/src/ibiswick/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Compile, check and accept configuration."""
--- a/src/ibiswick/_internal/blobs.py
+++ b/src/ibiswick/_internal/configuration/blobs.py
@@ -7,9 +7,9 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
 
-from .digests import compute_digest, encode_canonical
-from .errors import DamagedBlobError, OutcomeUnknownError, PlatformUnavailableError
-from .platform import Platform
+from ..shared.digests import compute_digest, encode_canonical
+from ..shared.errors import DamagedBlobError, OutcomeUnknownError, PlatformUnavailableError
+from ..shared.objectapi import Platform
 
 # Attempts of one read or write, so that a single refused or lost call does not fail a change.
 ATTEMPTS = 3
--- a/src/ibiswick/_internal/chain.py
+++ b/src/ibiswick/_internal/configuration/chain.py
@@ -5,11 +5,11 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
+from ..shared.errors import InvalidInputError, PlatformUnavailableError, Problem
+from ..shared.objectapi import MUST_NOT_EXIST, Platform, StoredObject
+from ..shared.records import ChangeRecord, Head, Manifest, RecentChange
 from .blobs import BlobStore
-from .errors import InvalidInputError, PlatformUnavailableError, Problem
 from .plans import EMPTY_MANIFEST, ChangeRequest, find_digest
-from .platform import MUST_NOT_EXIST, Platform, StoredObject
-from .records import ChangeRecord, Head, Manifest, RecentChange
 
 HEAD_KEY = "live/head"
 # Reads of the head until it is at least as new as a conflict says that it is.
--- a/src/ibiswick/_internal/changes.py
+++ b/src/ibiswick/_internal/configuration/changes.py
@@ -14,11 +14,9 @@
 
 import msgspec
 
-from .blobs import BlobStore
-from .budgets import FairQueue
-from .chain import FRESH_READ_ATTEMPTS, HEAD_KEY, Chain, DocumentView, HeadState
-from .digests import compute_digest, encode_canonical
-from .errors import (
+from ..shared.budgets import FairQueue
+from ..shared.digests import compute_digest, encode_canonical
+from ..shared.errors import (
     ChangeConflictError,
     ConflictError,
     IbiswickError,
@@ -28,7 +26,11 @@
     PlatformUnavailableError,
     Problem,
 )
-from .logs import EventLog
+from ..shared.logs import EventLog
+from ..shared.objectapi import MAX_VALUE_BYTES, MUST_NOT_EXIST, Platform, StoredObject
+from ..shared.records import ChangeRecord, Difference, Head, Manifest, RecentChange
+from .blobs import BlobStore
+from .chain import FRESH_READ_ATTEMPTS, HEAD_KEY, Chain, DocumentView, HeadState
 from .plans import (
     ChangeRequest,
     Plan,
@@ -38,8 +40,6 @@
     plan_roll_back,
     plan_steps,
 )
-from .platform import MAX_VALUE_BYTES, MUST_NOT_EXIST, Platform, StoredObject
-from .records import ChangeRecord, Difference, Head, Manifest, RecentChange
 
 __all__ = ["Acceptor", "ChangeRequest", "ChangeResult", "DocumentView", "plan_steps"]
 
--- a/src/ibiswick/_internal/compiler.py
+++ b/src/ibiswick/_internal/configuration/compiler.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from .errors import InvalidInputError, Problem
-from .records import Route, ServicePolicy
+from ..shared.errors import InvalidInputError, Problem
+from ..shared.records import Route, ServicePolicy
 from .schemas import check_document, check_value, name_source
 from .templates import (
     Document,
--- a/src/ibiswick/_internal/plans.py
+++ b/src/ibiswick/_internal/configuration/plans.py
@@ -7,11 +7,11 @@
 from collections.abc import Generator, Iterable, Mapping
 from typing import Any, NamedTuple
 
+from ..shared.digests import compute_digest, encode_canonical
+from ..shared.errors import ChangeConflictError, InvalidInputError, Problem
+from ..shared.objectapi import MAX_VALUE_BYTES
+from ..shared.records import Difference, DocumentConflict, Manifest, ManifestWorkspace, Snapshot
 from .compiler import Compiled, check_template, compile_checked, list_used_templates
-from .digests import compute_digest, encode_canonical
-from .errors import ChangeConflictError, InvalidInputError, Problem
-from .platform import MAX_VALUE_BYTES
-from .records import Difference, DocumentConflict, Manifest, ManifestWorkspace, Snapshot
 from .schemas import NAME_PATTERN, check_document, name_source, show
 from .snapshots import build_snapshot, encode_snapshot
 from .templates import list_ancestors
--- a/src/ibiswick/_internal/schemas.py
+++ b/src/ibiswick/_internal/configuration/schemas.py
@@ -9,8 +9,8 @@
 import jsonschema
 import msgspec
 
-from .errors import Problem
-from .platform import MAX_VALUE_BYTES
+from ..shared.errors import Problem
+from ..shared.objectapi import MAX_VALUE_BYTES
 
 # jsonschema searches for a pattern, and "$" matches before a final line feed as well, hence \Z.
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z"
--- a/src/ibiswick/_internal/snapshots.py
+++ b/src/ibiswick/_internal/configuration/snapshots.py
@@ -10,15 +10,15 @@
 
 import msgspec
 
-from .digests import compute_digest
-from .errors import (
+from ..shared.digests import compute_digest
+from ..shared.errors import (
     BaseMismatchError,
     DanglingReferenceError,
     DigestMismatchError,
     MalformedSnapshotError,
     SnapshotError,
 )
-from .records import Refusal, Route, ServicePolicy, Snapshot
+from ..shared.records import Refusal, Route, ServicePolicy, Snapshot
 
 
 class Delta(NamedTuple):
--- a/src/ibiswick/_internal/templates.py
+++ b/src/ibiswick/_internal/configuration/templates.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
-from .errors import InvalidInputError, Problem
+from ..shared.errors import InvalidInputError, Problem
 from .schemas import name_source, show
 
 Document = Mapping[str, Any]
--- /dev/null
+++ b/src/ibiswick/_internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""Distribute configuration and members among the nodes."""
--- a/src/ibiswick/_internal/agent.py
+++ b/src/ibiswick/_internal/control/agent.py
@@ -6,13 +6,16 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..shared.blackboard import Blackboard
+from ..shared.errors import MessageError
+from ..shared.records import Member, MemberState, Phase
+from ..shared.settings import NodeSettings
+from ..shared.tls import Identity
 from .actions import Action
-from .blackboard import Blackboard
 from .children import Children
 from .configuration import Configuration
 from .context import SELF, Context, Link, Role
 from .directory import Directory
-from .errors import MessageError
 from .exchange import MemberExchange
 from .leases import LeaseKeeper
 from .membership import build_endpoints
@@ -40,12 +43,9 @@
     SnapshotRequest,
 )
 from .parent import ParentSeeker
-from .records import Member, MemberState, Phase
 from .relay import SendGate, list_routed_services
 from .reports import build_report
 from .root import RootRole
-from .settings import NodeSettings
-from .tls import Identity
 
 # The longest time between two ticks; except for gathered changes, timers are no finer than this.
 TICK_S = 0.25
--- a/src/ibiswick/_internal/children.py
+++ b/src/ibiswick/_internal/control/children.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Callable
 
+from ..shared.errors import MessageError
+from ..shared.records import MemberState
+from ..shared.settings import Address
 from .context import SELF, Context, Link, Role
-from .errors import MessageError
 from .messages import (
     MAX_DELAY_S,
     Accept,
@@ -19,9 +21,7 @@
     Report,
     SnapshotRequest,
 )
-from .records import MemberState
 from .relay import SnapshotHistory
-from .settings import Address
 from .tree import Candidate, JoinGate, choose_parent
 
 INNER_JOIN_RATE_PER_S = 20.0
--- a/src/ibiswick/_internal/configuration.py
+++ b/src/ibiswick/_internal/control/configuration.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from ..configuration.snapshots import ApplyOutcome, Delta, apply_delta, decide_apply
+from ..shared.errors import BaseMismatchError, SnapshotError
+from ..shared.records import Refusal, Snapshot
 from .context import Context
-from .errors import BaseMismatchError, SnapshotError
 from .messages import DeltaSnapshot, FullSnapshot
-from .records import Refusal, Snapshot
 from .relay import SnapshotHistory
-from .snapshots import ApplyOutcome, Delta, apply_delta, decide_apply
 
 
 class Configuration:
--- a/src/ibiswick/_internal/context.py
+++ b/src/ibiswick/_internal/control/context.py
@@ -7,14 +7,14 @@
 from enum import StrEnum
 from typing import Any
 
+from ..shared.blackboard import Blackboard
+from ..shared.records import Member, MemberState
+from ..shared.settings import Address, NodeSettings
+from ..shared.tls import Identity
 from .actions import Action, CallPlatform, Close, Connect, Log, Send
-from .blackboard import Blackboard
 from .membership import MemberTable
 from .messages import Message, Report
-from .records import Member, MemberState
 from .relay import SendGate
-from .settings import Address, NodeSettings
-from .tls import Identity
 
 # The number that stands for this node itself where a link number tells how a member is reached.
 SELF = 0
--- a/src/ibiswick/_internal/directory.py
+++ b/src/ibiswick/_internal/control/directory.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
+from ..shared.errors import IbiswickError
+from ..shared.objectapi import Listing, StoredObject
+from ..shared.records import Lease
+from ..shared.settings import Address
 from .context import Context
-from .errors import IbiswickError
 from .leases import LeaseKeeper
-from .platform import Listing, StoredObject
-from .records import Lease
-from .settings import Address
 from .tree import rank_roots
 
 PREFIX = "leases/"
--- a/src/ibiswick/_internal/exchange.py
+++ b/src/ibiswick/_internal/control/exchange.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 
+from ..shared.errors import MessageError
+from ..shared.records import Member, MemberState
 from .context import Context, Link, Role
-from .errors import MessageError
 from .membership import Entry, refute_record, select_members
 from .messages import Members, MembersRequest, Removal
-from .records import Member, MemberState
 from .relay import SnapshotHistory, list_routed_services
 
 EXPIRE_INTERVAL_S = 1.0
--- a/src/ibiswick/_internal/floors.py
+++ b/src/ibiswick/_internal/control/floors.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from .records import Head, Lease, Manifest, Snapshot
-from .snapshots import build_snapshot
+from ..configuration.snapshots import build_snapshot
+from ..shared.records import Head, Lease, Manifest, Snapshot
 
 RULE_HEAD = "head"
 RULE_ROOTS = "roots"
--- a/src/ibiswick/_internal/headreader.py
+++ b/src/ibiswick/_internal/control/headreader.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
+from ..configuration.snapshots import parse_snapshot
+from ..shared.errors import IbiswickError, SnapshotError
+from ..shared.objectapi import Listing, StoredObject
+from ..shared.records import Head, Manifest, Snapshot
 from .context import Context
-from .errors import IbiswickError, SnapshotError
 from .floors import HeadIndex, WorkspaceVersion, build_empty_snapshot
-from .platform import Listing, StoredObject
-from .records import Head, Manifest, Snapshot
 from .relay import SendGate
-from .snapshots import parse_snapshot
 
 LIVE_PREFIX = "live/"
 HEAD_KEY = "live/head"
--- a/src/ibiswick/_internal/leases.py
+++ b/src/ibiswick/_internal/control/leases.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from .records import Lease
+from ..shared.records import Lease
 
 
 class LeaseAction(StrEnum):
--- a/src/ibiswick/_internal/links.py
+++ b/src/ibiswick/_internal/control/links.py
@@ -14,10 +14,10 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from .errors import MessageError
+from ..shared.errors import MessageError
+from ..shared.settings import Address
+from ..shared.tls import Identity, parse_identity
 from .messages import MAX_MESSAGE_BYTES, Message, decode_message, encode_message
-from .settings import Address
-from .tls import Identity, parse_identity
 
 # A peer that does not read for this many bytes is closed; it joins again and gets what it lacks.
 MAX_QUEUED_BYTES = 4_000_000
--- a/src/ibiswick/_internal/membership.py
+++ b/src/ibiswick/_internal/control/membership.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Container, Iterable, Iterator
 from typing import Any
 
+from ..shared.records import Endpoint, Member, MemberState
 from .messages import Removal
-from .records import Endpoint, Member, MemberState
 
 # Final records outlive every message that may still be on its way, by a wide margin.
 TOMBSTONE_S = 300.0
--- a/src/ibiswick/_internal/messages.py
+++ b/src/ibiswick/_internal/control/messages.py
@@ -10,9 +10,9 @@
 import cbor2
 import msgspec
 
-from .errors import MessageError
-from .records import Member, NodeException, Route, ServicePolicy
-from .settings import Address, Port
+from ..shared.errors import MessageError
+from ..shared.records import Member, NodeException, Route, ServicePolicy
+from ..shared.settings import Address, Port
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 1_000_000
--- a/src/ibiswick/_internal/parent.py
+++ b/src/ibiswick/_internal/control/parent.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
+from ..shared.settings import Address
 from .configuration import Configuration
 from .context import Context, Link, Role
 from .directory import Directory
 from .messages import PROTOCOL_VERSION, Accept, Join, Position, Redirect, Refuse
-from .settings import Address
 from .tree import MIN_BACKOFF_S, draw_backoff
 
 MAX_SEEDS_TRIED = 3
--- a/src/ibiswick/_internal/peers.py
+++ b/src/ibiswick/_internal/control/peers.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 
+from ..shared.errors import MessageError
+from ..shared.records import Lease
+from ..shared.settings import Address
 from .context import Context, Link, Role
 from .directory import Directory
-from .errors import MessageError
 from .leases import LeaseKeeper
 from .messages import PROTOCOL_VERSION, Interest, RootJoin
-from .records import Lease
-from .settings import Address
 
 REDIAL_S = 1.0
 
--- a/src/ibiswick/_internal/control.py
+++ b/src/ibiswick/_internal/control/plane.py
@@ -11,24 +11,24 @@
 
 from websockets.asyncio.server import Server
 
-from .actions import Action, CallPlatform, Close, Connect, Log, Send
-from .agent import Agent
-from .blackboard import Blackboard
-from .context import Role
-from .errors import (
+from ..shared.blackboard import Blackboard
+from ..shared.errors import (
     IbiswickError,
     MessageError,
     OutcomeUnknownError,
     PlatformUnavailableError,
 )
+from ..shared.logs import EventLog
+from ..shared.metrics import define_counter, define_gauge
+from ..shared.objectapi import Platform
+from ..shared.records import Member, MemberState
+from ..shared.settings import Address, NodeSettings
+from ..shared.tls import build_client_context, build_server_context
+from .actions import Action, CallPlatform, Close, Connect, Log, Send
+from .agent import Agent
+from .context import Role
 from .links import WebSocketLink, serve_links
-from .logs import EventLog
 from .messages import Message
-from .metrics import define_counter, define_gauge
-from .platform import Platform
-from .records import Member, MemberState
-from .settings import Address, NodeSettings
-from .tls import build_client_context, build_server_context
 
 METRICS_INTERVAL_S = 1.0
 # Keeps a timer that is always due from occupying the event loop.
--- a/src/ibiswick/_internal/relay.py
+++ b/src/ibiswick/_internal/control/relay.py
@@ -4,9 +4,9 @@
 
 from collections import OrderedDict
 
+from ..configuration.snapshots import compute_delta
+from ..shared.records import Snapshot
 from .messages import DeltaSnapshot, FullSnapshot
-from .records import Snapshot
-from .snapshots import compute_delta
 
 # A child that is further behind gets the whole snapshot.
 KEPT_BASES = 4
--- a/src/ibiswick/_internal/reports.py
+++ b/src/ibiswick/_internal/control/reports.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
+from ..shared.records import NodeException, Refusal, Snapshot, WorkspaceReport
 from .messages import Report
-from .records import NodeException, Refusal, Snapshot, WorkspaceReport
 
 MAX_EXCEPTIONS = 32
 BEHIND = "behind"
--- a/src/ibiswick/_internal/reportwriter.py
+++ b/src/ibiswick/_internal/control/reportwriter.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..shared.errors import IbiswickError
+from ..shared.records import MemberState, RootReport
 from .context import SELF, Context, Role
-from .errors import IbiswickError
-from .records import MemberState, RootReport
 
 STATUS_INTERVAL_S = 1.0
 MEMBERS_INTERVAL_S = 10.0
--- a/src/ibiswick/_internal/root.py
+++ b/src/ibiswick/_internal/control/root.py
@@ -7,17 +7,18 @@
 
 import msgspec
 
+from ..shared.errors import ConflictError, IbiswickError, OutcomeUnknownError
+from ..shared.objectapi import StoredObject
+from ..shared.records import Lease, LeaseView, MemberState, Snapshot
+from ..shared.settings import Address
 from .configuration import Configuration
 from .context import SELF, Context, Link, Role
 from .directory import Directory, format_lease_key
-from .errors import ConflictError, IbiswickError, OutcomeUnknownError
 from .floorresponder import FloorResponder
 from .headreader import HeadReader
 from .leases import LeaseKeeper, LeaseStep
 from .messages import Drain, FloorRequest, Promote
 from .peers import Peers
-from .platform import StoredObject
-from .records import Lease, LeaseView, MemberState, Snapshot
 from .relay import SnapshotHistory
 from .reports import aggregate_reports, build_report
 from .reportwriter import (
@@ -27,7 +28,6 @@
     build_root_report,
     list_subtree,
 )
-from .settings import Address
 
 
 class RootRole:
--- a/src/ibiswick/_internal/tree.py
+++ b/src/ibiswick/_internal/control/tree.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from .budgets import TokenBucket
+from ..shared.budgets import TokenBucket
 
 MAX_BACKOFF_S = 30.0
 MIN_BACKOFF_S = 0.5
--- /dev/null
+++ b/src/ibiswick/_internal/shared/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what every part of ibiswick uses."""
--- a/src/ibiswick/_internal/budgets.py
+++ b/src/ibiswick/_internal/shared/budgets.py
@@ -9,7 +9,7 @@
 from typing import Any, Generic, TypeVar
 
 from .errors import PlatformUnavailableError
-from .platform import Listing, Platform, StoredObject
+from .objectapi import Listing, Platform, StoredObject
 
 T = TypeVar("T")
 
--- a/src/ibiswick/_internal/platform_httpx.py
+++ b/src/ibiswick/_internal/shared/objectapi_httpx.py
@@ -11,7 +11,7 @@
 import httpx
 
 from .errors import ExchangeTimeoutError, NotSentError, ResponseLostError
-from .platform import FetchResponse, HttpPlatform
+from .objectapi import FetchResponse, HttpPlatform
 from .settings import PlatformSettings
 
 # Errors that httpx raises before it has a connection; nothing was sent.
--- a/src/ibiswick/_internal/standins/backend.py
+++ b/src/ibiswick/_internal/standins/backend.py
@@ -16,7 +16,7 @@
 import msgspec
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from ..errors import InvalidInputError, Problem
+from ..shared.errors import InvalidInputError, Problem
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
--- a/src/ibiswick/_internal/standins/convergence.py
+++ b/src/ibiswick/_internal/standins/convergence.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from ..oracle import CONVERGENCE_BOUND_S, Accepted, History
+from .oracle import CONVERGENCE_BOUND_S, Accepted, History
 
 
 class Convergence(NamedTuple):
--- a/src/ibiswick/_internal/standins/demo.py
+++ b/src/ibiswick/_internal/standins/demo.py
@@ -13,12 +13,12 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from ..oracle import CONVERGENCE_BOUND_S, History, Outage, Outcome, Verdict, check_all
 from .convergence import Convergence, list_convergence
 from .deployments import DEPLOYMENTS, KIB, Deployment
 from .documents import EditKind, WorkingCopy
 from .evidence import collect_history
 from .load import CallClass, LoadGenerator, summarize
+from .oracle import CONVERGENCE_BOUND_S, History, Outage, Outcome, Verdict, check_all
 from .rig import Plan, Rig, cancel_on_signals
 from .tables import format_calls, format_table, format_verdicts
 
--- a/src/ibiswick/_internal/standins/evidence.py
+++ b/src/ibiswick/_internal/standins/evidence.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
-from ..oracle import (
+from .backend import LedgerEntry
+from .events import Event
+from .oracle import (
     Accepted,
     Applied,
     Call,
@@ -22,8 +24,6 @@
     PlannedStop,
     Work,
 )
-from .backend import LedgerEntry
-from .events import Event
 from .rig import Rig
 
 
--- a/src/ibiswick/_internal/standins/load.py
+++ b/src/ibiswick/_internal/standins/load.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from ..oracle import Call, Outcome
 from .client import Client, CutOffError, NotConnectedError, Response, build_head
+from .oracle import Call, Outcome
 
 _CHUNK_BYTES = 65_536
 # More calls than this at once mean that the system under test has stopped answering.
--- a/src/ibiswick/_internal/standins/measure_convergence.py
+++ b/src/ibiswick/_internal/standins/measure_convergence.py
@@ -8,11 +8,11 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from ..oracle import Outage
 from .convergence import Convergence
 from .deployments import Deployment
 from .documents import EditKind
 from .load import find_percentile
+from .oracle import Outage
 from .rig import Rig
 from .sections import (
     Fleet,
--- a/src/ibiswick/_internal/standins/measure_latency.py
+++ b/src/ibiswick/_internal/standins/measure_latency.py
@@ -8,10 +8,10 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from ..oracle import Outcome
 from .client import Client
 from .deployments import KIB, Deployment
 from .load import CallClass, find_percentile, make_call
+from .oracle import Outcome
 from .rig import Plan, Rig
 from .sections import Fleet, Section, format_spread, start_fleet
 
--- a/src/ibiswick/_internal/standins/measure_policy.py
+++ b/src/ibiswick/_internal/standins/measure_policy.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from ..oracle import Call, Outcome
 from .deployments import Deployment
 from .load import CallClass, LoadGenerator, find_percentile
+from .oracle import Call, Outcome
 from .rig import Plan
 from .sections import Section, start_fleet
 
--- a/src/ibiswick/_internal/standins/measure_slopes.py
+++ b/src/ibiswick/_internal/standins/measure_slopes.py
@@ -11,11 +11,12 @@
 from pathlib import Path
 from typing import Any
 
-from ..balance import Balancer
-from ..errors import MessageError
-from ..links import WebSocketLink, serve_links
-from ..membership import MemberTable, build_endpoints
-from ..messages import (
+from ..calls.balance import Balancer
+from ..calls.routes import RouteTable
+from ..configuration.snapshots import apply_delta, build_snapshot, compute_delta, decide_apply
+from ..control.links import WebSocketLink, serve_links
+from ..control.membership import MemberTable, build_endpoints
+from ..control.messages import (
     DeltaSnapshot,
     FullSnapshot,
     Heartbeat,
@@ -24,10 +25,9 @@
     decode_message,
     encode_message,
 )
-from ..records import Member, MemberState, Route, ServicePolicy, Snapshot
-from ..routes import RouteTable
-from ..settings import Address
-from ..snapshots import apply_delta, build_snapshot, compute_delta, decide_apply
+from ..shared.errors import MessageError
+from ..shared.records import Member, MemberState, Route, ServicePolicy, Snapshot
+from ..shared.settings import Address
 from .deployments import Deployment
 from .sections import Section
 from .usage import read_usage
--- a/src/ibiswick/_internal/standins/measures.py
+++ b/src/ibiswick/_internal/standins/measures.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 
-from ..oracle import Verdict
 from .deployments import DEPLOYMENTS, Deployment
 from .measure_convergence import (
     HEADINGS,
@@ -30,6 +29,7 @@
 )
 from .measure_policy import measure_policy
 from .measure_slopes import measure_slopes
+from .oracle import Verdict
 from .rig import cancel_on_signals
 from .sections import Section, list_percentiles, scale_plan, start_fleet
 from .tables import format_table
--- a/src/ibiswick/_internal/standins/platform.py
+++ b/src/ibiswick/_internal/standins/platform.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from ..budgets import TokenBucket
-from ..errors import ConflictError, ValueTooLargeError
-from ..platform import MAX_VALUE_BYTES, MUST_NOT_EXIST, Listing, StoredObject
+from ..shared.budgets import TokenBucket
+from ..shared.errors import ConflictError, ValueTooLargeError
+from ..shared.objectapi import MAX_VALUE_BYTES, MUST_NOT_EXIST, Listing, StoredObject
 from .store import ObjectStore
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
--- a/src/ibiswick/_internal/standins/rig.py
+++ b/src/ibiswick/_internal/standins/rig.py
@@ -20,9 +20,9 @@
 
 import httpx
 
-from ..oracle import Outage
 from .events import Event, read_events
 from .load import Target
+from .oracle import Outage
 from .processes import Process, ProcessFailedError, find_ports, run_program
 
 HOST = "127.0.0.1"
--- a/src/ibiswick/_internal/standins/sections.py
+++ b/src/ibiswick/_internal/standins/sections.py
@@ -14,12 +14,12 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-from ..oracle import Call, Verdict, check_all
 from .convergence import Convergence, list_convergence
 from .deployments import Deployment
 from .documents import EditKind, WorkingCopy
 from .evidence import collect_history
 from .load import find_percentile
+from .oracle import Call, Verdict, check_all
 from .rig import Plan, Rig
 
 _EVIDENCE = Path("build/evidence")
--- a/src/ibiswick/_internal/standins/store.py
+++ b/src/ibiswick/_internal/standins/store.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from ..errors import ConflictError, ValueTooLargeError
-from ..platform import MAX_VALUE_BYTES, Listing, StoredObject
+from ..shared.errors import ConflictError, ValueTooLargeError
+from ..shared.objectapi import MAX_VALUE_BYTES, Listing, StoredObject
 
 
 class ObjectStore:
--- a/src/ibiswick/_internal/standins/tables.py
+++ b/src/ibiswick/_internal/standins/tables.py
@@ -5,8 +5,8 @@
 from collections.abc import Sequence
 from typing import Any
 
-from ..oracle import PROMISES, Outcome, Verdict
 from .load import Summary
+from .oracle import PROMISES, Outcome, Verdict
 
 
 def format_table(headings: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ibiswick._internal.records import Member, MemberState, Route, ServicePolicy
+from ibiswick._internal.shared.records import Member, MemberState, Route, ServicePolicy
 
 
 def build_policy(**changes: Any) -> ServicePolicy:
--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -12,7 +12,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.hazmat.primitives.serialization import Encoding, NoEncryption, PrivateFormat
 
-from ibiswick._internal.settings import TlsSettings
+from ibiswick._internal.shared.settings import TlsSettings
 
 # Tests must not depend on the date, so the certificates are valid for a long time.
 START = datetime.datetime(2020, 1, 1)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,8 +6,8 @@
 import collections
 from typing import Any
 
-from ibiswick._internal.errors import OutcomeUnknownError, PlatformUnavailableError
-from ibiswick._internal.platform import Listing, StoredObject
+from ibiswick._internal.shared.errors import OutcomeUnknownError, PlatformUnavailableError
+from ibiswick._internal.shared.objectapi import Listing, StoredObject
 from ibiswick._internal.standins.store import ObjectStore
 
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -10,15 +10,10 @@
 from typing import Any
 
 from builders import build_member, build_policy, build_route
-from ibiswick._internal.actions import Action, CallPlatform, Close, Connect, Log, Send
-from ibiswick._internal.agent import Agent
-from ibiswick._internal.blackboard import Blackboard
-from ibiswick._internal.errors import (
-    ConflictError,
-    OutcomeUnknownError,
-    PlatformUnavailableError,
-)
-from ibiswick._internal.messages import (
+from ibiswick._internal.configuration.snapshots import build_snapshot, encode_snapshot
+from ibiswick._internal.control.actions import Action, CallPlatform, Close, Connect, Log, Send
+from ibiswick._internal.control.agent import Agent
+from ibiswick._internal.control.messages import (
     DeltaSnapshot,
     Floor,
     FloorRequest,
@@ -30,10 +25,15 @@
     decode_message,
     encode_message,
 )
-from ibiswick._internal.platform import Listing
-from ibiswick._internal.records import MemberState, Phase, Snapshot
-from ibiswick._internal.settings import Address, NodeSettings, PlatformSettings
-from ibiswick._internal.snapshots import build_snapshot, encode_snapshot
+from ibiswick._internal.shared.blackboard import Blackboard
+from ibiswick._internal.shared.errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from ibiswick._internal.shared.objectapi import Listing
+from ibiswick._internal.shared.records import MemberState, Phase, Snapshot
+from ibiswick._internal.shared.settings import Address, NodeSettings, PlatformSettings
 from ibiswick._internal.standins.store import ObjectStore
 
 LATENCY_S = 0.001
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,9 +5,9 @@
 import pytest
 
 from builders import build_member
-from ibiswick._internal.actions import Close, Send
 from ibiswick._internal.commands import node as node_command
-from ibiswick._internal.messages import (
+from ibiswick._internal.control.actions import Close, Send
+from ibiswick._internal.control.messages import (
     PROTOCOL_VERSION,
     Accept,
     FullSnapshot,
@@ -16,7 +16,7 @@
     Refuse,
     RootJoin,
 )
-from ibiswick._internal.tls import Identity
+from ibiswick._internal.shared.tls import Identity
 from simulation import World
 
 NUMBER = 1000
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -12,21 +12,21 @@
 
 from builders import build_member, build_policy, build_route
 from fakes import FakeClock, FakePlatform
-from ibiswick._internal import tokens
-from ibiswick._internal.access import AccessControl
-from ibiswick._internal.api import MAX_BODY_BYTES, build_budget, create_app
-from ibiswick._internal.api_changes import ChangeService
-from ibiswick._internal.api_models import ChangeBody
-from ibiswick._internal.audits import AuditTrail
-from ibiswick._internal.changes import Acceptor
-from ibiswick._internal.digests import compute_digest
-from ibiswick._internal.errors import (
+from ibiswick._internal.administration import tokens
+from ibiswick._internal.administration.access import AccessControl
+from ibiswick._internal.administration.api import MAX_BODY_BYTES, build_budget, create_app
+from ibiswick._internal.administration.api_changes import ChangeService
+from ibiswick._internal.administration.api_models import ChangeBody
+from ibiswick._internal.administration.audits import AuditTrail
+from ibiswick._internal.administration.tokens import Role, TokenStore, create_token
+from ibiswick._internal.configuration.changes import Acceptor
+from ibiswick._internal.shared.digests import compute_digest
+from ibiswick._internal.shared.errors import (
     IbiswickError,
     OutcomeUnknownError,
     PlatformUnavailableError,
 )
-from ibiswick._internal.records import MemberState
-from ibiswick._internal.tokens import Role, TokenStore, create_token
+from ibiswick._internal.shared.records import MemberState
 
 
 def build_workspace(**route):
--- a/tests/test_audits.py
+++ b/tests/test_audits.py
@@ -5,8 +5,8 @@
 import pytest
 
 from fakes import FakePlatform
-from ibiswick._internal.audits import ATTEMPT_SETTLED_S, AuditTrail, build_entry
-from ibiswick._internal.errors import PlatformUnavailableError
+from ibiswick._internal.administration.audits import ATTEMPT_SETTLED_S, AuditTrail, build_entry
+from ibiswick._internal.shared.errors import PlatformUnavailableError
 
 
 def build(change_id="c1", now=1000.0, action="change", base=3):
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from fakes import FakeClock, FakePlatform
-from ibiswick._internal.budgets import BudgetedPlatform, FairQueue, TokenBucket
+from ibiswick._internal.shared.budgets import BudgetedPlatform, FairQueue, TokenBucket
 
 
 @given(
--- a/tests/test_call_decisions.py
+++ b/tests/test_call_decisions.py
@@ -10,11 +10,10 @@
 from hypothesis import strategies as st
 
 from builders import build_policy, build_route
-from ibiswick._internal.admission import Admitted, Queued, Refused, SlotQueue
-from ibiswick._internal.balance import Balancer
-from ibiswick._internal.heads import read_request_head, read_response_head
-from ibiswick._internal.records import Endpoint, Route
-from ibiswick._internal.retries import (
+from ibiswick._internal.calls.admission import Admitted, Queued, Refused, SlotQueue
+from ibiswick._internal.calls.balance import Balancer
+from ibiswick._internal.calls.heads import read_request_head, read_response_head
+from ibiswick._internal.calls.retries import (
     BUDGET_MINIMUM,
     Outcome,
     RetryBudget,
@@ -24,7 +23,8 @@
     decide_retry,
     shrink_deadline_ms,
 )
-from ibiswick._internal.routes import RouteTable
+from ibiswick._internal.calls.routes import RouteTable
+from ibiswick._internal.shared.records import Endpoint, Route
 
 SEGMENTS = st.lists(st.sampled_from(("a", "b", "ab")), max_size=3)
 PREFIXES = SEGMENTS.map(lambda parts: "/" + "/".join(parts))
--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -20,16 +20,16 @@
 
 from builders import build_policy, build_route
 from call_network import Client, VirtualLoop, request, run_virtual
-from ibiswick._internal import outbound, retries
-from ibiswick._internal.answers import build_not_run
-from ibiswick._internal.blackboard import Blackboard
-from ibiswick._internal.dataplane import BackendWatcher, DataPlane
-from ibiswick._internal.pool import Connection
-from ibiswick._internal.records import Endpoint, Snapshot
-from ibiswick._internal.records import Phase as NodePhase
-from ibiswick._internal.retries import DEADLINE_MARGIN_S, Outcome, RetryDecision
-from ibiswick._internal.serving import KEEP_ALIVE_S, bind_socket
-from ibiswick._internal.settings import Address, NodeSettings, PlatformSettings
+from ibiswick._internal.calls import outbound, retries
+from ibiswick._internal.calls.answers import build_not_run
+from ibiswick._internal.calls.dataplane import BackendWatcher, DataPlane
+from ibiswick._internal.calls.pool import Connection
+from ibiswick._internal.calls.retries import DEADLINE_MARGIN_S, Outcome, RetryDecision
+from ibiswick._internal.calls.serving import KEEP_ALIVE_S, bind_socket
+from ibiswick._internal.shared.blackboard import Blackboard
+from ibiswick._internal.shared.records import Endpoint, Snapshot
+from ibiswick._internal.shared.records import Phase as NodePhase
+from ibiswick._internal.shared.settings import Address, NodeSettings, PlatformSettings
 
 # Log lines of thousands of simulated calls would hide the result of a test.
 logbook.NullHandler().push_application()
--- a/tests/test_call_sockets.py
+++ b/tests/test_call_sockets.py
@@ -13,13 +13,13 @@
 from builders import build_policy, build_route
 from call_network import Client, request
 from certificates import Authority
-from ibiswick._internal.blackboard import Blackboard
-from ibiswick._internal.dataplane import DataPlane
-from ibiswick._internal.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
-from ibiswick._internal.pool import Limits, Pool, PoolFetch, Remote, Request
-from ibiswick._internal.records import Endpoint, Phase, Snapshot
-from ibiswick._internal.settings import Address, NodeSettings, PlatformSettings, TlsSettings
-from ibiswick._internal.tls import build_client_context
+from ibiswick._internal.calls.dataplane import DataPlane
+from ibiswick._internal.calls.pool import Limits, Pool, PoolFetch, Remote, Request
+from ibiswick._internal.shared.blackboard import Blackboard
+from ibiswick._internal.shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
+from ibiswick._internal.shared.records import Endpoint, Phase, Snapshot
+from ibiswick._internal.shared.settings import Address, NodeSettings, PlatformSettings, TlsSettings
+from ibiswick._internal.shared.tls import build_client_context
 
 LOCAL = Address("127.0.0.1", 0)
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -11,10 +11,12 @@
 from hypothesis import strategies as st
 
 from fakes import FakeClock, FakePlatform
-from ibiswick._internal.changes import Acceptor, ChangeRequest, ChangeResult
-from ibiswick._internal.compiler import compile_workspace
-from ibiswick._internal.digests import compute_digest
-from ibiswick._internal.errors import (
+from ibiswick._internal.configuration.changes import Acceptor, ChangeRequest, ChangeResult
+from ibiswick._internal.configuration.compiler import compile_workspace
+from ibiswick._internal.configuration.plans import EMPTY_MANIFEST, plan_change
+from ibiswick._internal.configuration.snapshots import build_snapshot
+from ibiswick._internal.shared.digests import compute_digest
+from ibiswick._internal.shared.errors import (
     ChangeConflictError,
     ConflictError,
     DamagedBlobError,
@@ -22,10 +24,8 @@
     OutcomeUnknownError,
     PlatformUnavailableError,
 )
-from ibiswick._internal.plans import EMPTY_MANIFEST, plan_change
-from ibiswick._internal.platform import MAX_VALUE_BYTES
-from ibiswick._internal.records import Manifest
-from ibiswick._internal.snapshots import build_snapshot
+from ibiswick._internal.shared.objectapi import MAX_VALUE_BYTES
+from ibiswick._internal.shared.records import Manifest
 from ibiswick._internal.standins.store import ObjectStore
 
 ROUTE = {"id": "r", "prefix": "/r", "service": "s"}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,19 +11,19 @@
 from builders import build_member, build_policy, build_route
 from certificates import Authority
 from fakes import FakePlatform
-from ibiswick._internal.blackboard import Blackboard
-from ibiswick._internal.control import ControlPlane
-from ibiswick._internal.links import MAX_QUEUED_BYTES, WebSocketLink
-from ibiswick._internal.messages import (
+from ibiswick._internal.configuration.snapshots import build_snapshot, encode_snapshot
+from ibiswick._internal.control.links import MAX_QUEUED_BYTES, WebSocketLink
+from ibiswick._internal.control.messages import (
     PROTOCOL_VERSION,
     FullSnapshot,
     Join,
     encode_message,
 )
-from ibiswick._internal.records import Phase
-from ibiswick._internal.settings import Address
-from ibiswick._internal.snapshots import build_snapshot, encode_snapshot
-from ibiswick._internal.tls import build_client_context
+from ibiswick._internal.control.plane import ControlPlane
+from ibiswick._internal.shared.blackboard import Blackboard
+from ibiswick._internal.shared.records import Phase
+from ibiswick._internal.shared.settings import Address
+from ibiswick._internal.shared.tls import build_client_context
 from simulation import build_settings
 
 # A hang fails the test after this time; nothing else depends on it.
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -14,7 +14,9 @@
     run_state_machine_as_test,
 )
 
-from ibiswick._internal import (
+from ibiswick._internal.configuration import snapshots
+from ibiswick._internal.configuration.snapshots import ApplyDecision, ApplyOutcome
+from ibiswick._internal.control import (
     agent,
     children,
     configuration,
@@ -23,11 +25,9 @@
     membership,
     parent,
     root,
-    snapshots,
 )
-from ibiswick._internal.records import MemberState
-from ibiswick._internal.settings import Address
-from ibiswick._internal.snapshots import ApplyDecision, ApplyOutcome
+from ibiswick._internal.shared.records import MemberState
+from ibiswick._internal.shared.settings import Address
 from simulation import World
 
 ZONES = ("ege-bir", "ege-iki")
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -9,13 +9,14 @@
 
 from builders import build_policy, build_route
 from fakes import FakePlatform
-from ibiswick._internal import api_client, platform_httpx, tokens
-from ibiswick._internal.api import create_app
-from ibiswick._internal.changes import Acceptor
+from ibiswick._internal.administration import api_client, tokens
+from ibiswick._internal.administration.api import create_app
+from ibiswick._internal.administration.tokens import Role, TokenStore, create_token
 from ibiswick._internal.commands import admin, ctl, ctl_support
 from ibiswick._internal.commands.ctl_support import ExitCode
-from ibiswick._internal.records import Lease, NodeException, RootReport, WorkspaceReport
-from ibiswick._internal.tokens import Role, TokenStore, create_token
+from ibiswick._internal.configuration.changes import Acceptor
+from ibiswick._internal.shared import objectapi_httpx
+from ibiswick._internal.shared.records import Lease, NodeException, RootReport, WorkspaceReport
 
 
 class LossyTransport(httpx.ASGITransport):
@@ -242,7 +243,7 @@
             pass
 
     monkeypatch.setattr(
-        platform_httpx, "connect_platform", lambda *_, **__: (bench.platform, Transport())
+        objectapi_httpx, "connect_platform", lambda *_, **__: (bench.platform, Transport())
     )
     settings = bench.directory / "settings.json"
     address = {"host": "127.0.0.1", "port": 1}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,14 +5,14 @@
 import pytest
 
 from builders import build_policy, build_route
-from ibiswick._internal.floors import HeadIndex, confirm_by_roots
-from ibiswick._internal.leases import LeaseAction, LeaseKeeper, LeaseStep
-from ibiswick._internal.messages import DeltaSnapshot, FullSnapshot, Report
-from ibiswick._internal.records import Refusal
-from ibiswick._internal.relay import SendGate, SnapshotHistory
-from ibiswick._internal.reports import MAX_EXCEPTIONS, aggregate_reports, build_report
-from ibiswick._internal.snapshots import build_snapshot
-from ibiswick._internal.tree import MAX_BACKOFF_S, JoinGate, draw_backoff, rank_roots
+from ibiswick._internal.configuration.snapshots import build_snapshot
+from ibiswick._internal.control.floors import HeadIndex, confirm_by_roots
+from ibiswick._internal.control.leases import LeaseAction, LeaseKeeper, LeaseStep
+from ibiswick._internal.control.messages import DeltaSnapshot, FullSnapshot, Report
+from ibiswick._internal.control.relay import SendGate, SnapshotHistory
+from ibiswick._internal.control.reports import MAX_EXCEPTIONS, aggregate_reports, build_report
+from ibiswick._internal.control.tree import MAX_BACKOFF_S, JoinGate, draw_backoff, rank_roots
+from ibiswick._internal.shared.records import Refusal
 
 
 def build_lease(**changes):
--- a/tests/test_deleted_workspace.py
+++ b/tests/test_deleted_workspace.py
@@ -4,10 +4,10 @@
 import random
 
 from fakes import FakePlatform
-from ibiswick._internal.blackboard import Blackboard
-from ibiswick._internal.control import ControlPlane
-from ibiswick._internal.floors import HeadIndex, build_empty_snapshot
-from ibiswick._internal.settings import Address
+from ibiswick._internal.control.floors import HeadIndex, build_empty_snapshot
+from ibiswick._internal.control.plane import ControlPlane
+from ibiswick._internal.shared.blackboard import Blackboard
+from ibiswick._internal.shared.settings import Address
 from simulation import build_settings
 
 LIMIT_S = 60.0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from ibiswick._internal.oracle import Outcome
 from ibiswick._internal.standins.client import Client
 from ibiswick._internal.standins.load import CallClass, LoadGenerator, Target, make_call
+from ibiswick._internal.standins.oracle import Outcome
 
 STATUS = CallClass("status", "h", "/status", 1.0, True, timeout_s=5.0)
 UPLOAD = CallClass("upload", "h", "/upload", 1.0, False, "POST", upload_bytes=50_000_000)
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from ibiswick._internal.oracle import (
+from ibiswick._internal.standins.convergence import list_convergence
+from ibiswick._internal.standins.demo import DemoResult, list_faults
+from ibiswick._internal.standins.documents import WorkingCopy
+from ibiswick._internal.standins.load import CallClass
+from ibiswick._internal.standins.measures import collect_figures
+from ibiswick._internal.standins.oracle import (
     Accepted,
     Applied,
     Call,
@@ -15,11 +20,6 @@
     Verdict,
     Violation,
 )
-from ibiswick._internal.standins.convergence import list_convergence
-from ibiswick._internal.standins.demo import DemoResult, list_faults
-from ibiswick._internal.standins.documents import WorkingCopy
-from ibiswick._internal.standins.load import CallClass
-from ibiswick._internal.standins.measures import collect_figures
 from ibiswick._internal.standins.sections import Section
 
 STATUS = CallClass("status", "h", "/status", 1.0, True)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,15 +5,15 @@
 from hypothesis import strategies as st
 
 from builders import build_member
-from ibiswick._internal import membership
-from ibiswick._internal.membership import (
+from ibiswick._internal.control import membership
+from ibiswick._internal.control.membership import (
     MemberTable,
     build_endpoints,
     merge_member,
     refute_record,
 )
-from ibiswick._internal.messages import Removal
-from ibiswick._internal.records import MemberState
+from ibiswick._internal.control.messages import Removal
+from ibiswick._internal.shared.records import MemberState
 
 RECORDS = st.builds(
     build_member,
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -6,9 +6,8 @@
 from hypothesis import strategies as st
 
 from builders import build_member, build_policy, build_route
-from ibiswick._internal import messages
-from ibiswick._internal.errors import MessageError
-from ibiswick._internal.messages import (
+from ibiswick._internal.control import messages
+from ibiswick._internal.control.messages import (
     Accept,
     DeltaSnapshot,
     FullSnapshot,
@@ -20,7 +19,8 @@
     decode_message,
     encode_message,
 )
-from ibiswick._internal.settings import Address
+from ibiswick._internal.shared.errors import MessageError
+from ibiswick._internal.shared.settings import Address
 
 SAMPLES = [
     Join(messages.PROTOCOL_VERSION, build_member(), 7, "d"),
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ibiswick._internal.oracle import (
+from ibiswick._internal.standins.oracle import (
     CHECKERS,
     Accepted,
     Applied,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,8 +14,8 @@
 import pytest
 import uvicorn
 
-from ibiswick._internal.changes import Acceptor, ChangeRequest, ChangeResult
-from ibiswick._internal.errors import (
+from ibiswick._internal.configuration.changes import Acceptor, ChangeRequest, ChangeResult
+from ibiswick._internal.shared.errors import (
     ConflictError,
     NotSentError,
     OutcomeUnknownError,
@@ -24,9 +24,9 @@
     ResponseLostError,
     ValueTooLargeError,
 )
-from ibiswick._internal.platform import MUST_NOT_EXIST, FetchResponse, HttpPlatform
-from ibiswick._internal.platform_httpx import connect_platform
-from ibiswick._internal.settings import PlatformSettings
+from ibiswick._internal.shared.objectapi import MUST_NOT_EXIST, FetchResponse, HttpPlatform
+from ibiswick._internal.shared.objectapi_httpx import connect_platform
+from ibiswick._internal.shared.settings import PlatformSettings
 from ibiswick._internal.standins.platform import PlatformApplication
 
 
@@ -184,8 +184,9 @@
 def test_plain_node_modules_do_not_load_heavy_libraries() -> None:
     """Guard against a node that exceeds its memory because of an import."""
     program = (
-        "import sys, ibiswick._internal.platform, ibiswick._internal.snapshots, "
-        "ibiswick._internal.budgets, ibiswick._internal.commands.node; "
+        "import sys, ibiswick._internal.shared.objectapi, "
+        "ibiswick._internal.configuration.snapshots, "
+        "ibiswick._internal.shared.budgets, ibiswick._internal.commands.node; "
         "heavy = {'httpx', 'jsonschema', 'cyclopts', 'litestar', 'uvicorn', 'multiprocessing'}; "
         "sys.exit(', '.join(heavy & sys.modules.keys()))"
     )
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -1,8 +1,8 @@
 """Test when a node names the nodes of its subtree that are behind."""
 
-from ibiswick._internal.messages import Report
-from ibiswick._internal.reports import build_report
-from ibiswick._internal.snapshots import build_snapshot
+from ibiswick._internal.configuration.snapshots import build_snapshot
+from ibiswick._internal.control.messages import Report
+from ibiswick._internal.control.reports import build_report
 from simulation import World
 
 SETTLE_S = 30.0
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -10,17 +10,17 @@
 
 from certificates import Authority
 from fakes import FakeClock, FakePlatform
-from ibiswick._internal import api, tokens
-from ibiswick._internal.api import create_app, open_listener, serve_admin, serve_app
-from ibiswick._internal.api_client import (
+from ibiswick._internal.administration import api, tokens
+from ibiswick._internal.administration.api import create_app, open_listener, serve_admin, serve_app
+from ibiswick._internal.administration.api_client import (
     ApiClient,
     ApiRefusedError,
     ApiUnavailableError,
     Connection,
 )
-from ibiswick._internal.changes import Acceptor
-from ibiswick._internal.errors import SettingsError
-from ibiswick._internal.settings import Address, AdminSettings, PlatformSettings
+from ibiswick._internal.configuration.changes import Acceptor
+from ibiswick._internal.shared.errors import SettingsError
+from ibiswick._internal.shared.settings import Address, AdminSettings, PlatformSettings
 
 SETTINGS = AdminSettings(
     listen=Address("127.0.0.1", 0),
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from call_network import VirtualLoop, run_virtual
-from ibiswick._internal.serving import (
+from ibiswick._internal.calls.serving import (
     KEEP_ALIVE_S,
     SHUTDOWN_LIMIT_S,
     Listener,
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from ibiswick._internal.blackboard import Cell
-from ibiswick._internal.errors import SettingsError
-from ibiswick._internal.metrics import render_metrics
-from ibiswick._internal.settings import Address, NodeSettings, load_settings, parse_settings
+from ibiswick._internal.shared.blackboard import Cell
+from ibiswick._internal.shared.errors import SettingsError
+from ibiswick._internal.shared.metrics import render_metrics
+from ibiswick._internal.shared.settings import Address, NodeSettings, load_settings, parse_settings
 
 NODE = b"""{"vm": "vm-1", "workspace": "w", "service": "s", "region": "r",
 "availability_zone": "z", "backend_server": {"host": "127.0.0.1", "port": 1},
--- a/tests/test_snapshot_states.py
+++ b/tests/test_snapshot_states.py
@@ -17,9 +17,7 @@
 )
 
 from builders import build_policy, build_route
-from ibiswick._internal.errors import BaseMismatchError, SnapshotError
-from ibiswick._internal.records import Refusal, Route, ServicePolicy, Snapshot
-from ibiswick._internal.snapshots import (
+from ibiswick._internal.configuration.snapshots import (
     ApplyDecision,
     ApplyOutcome,
     apply_delta,
@@ -29,6 +27,8 @@
     compute_delta,
     decide_apply,
 )
+from ibiswick._internal.shared.errors import BaseMismatchError, SnapshotError
+from ibiswick._internal.shared.records import Refusal, Route, ServicePolicy, Snapshot
 
 NAMES = ["dukkan-masa", "torba-kayit", "heat-board"]
 SERVICES = st.dictionaries(
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -5,13 +5,7 @@
 import pytest
 
 from builders import build_policy, build_route
-from ibiswick._internal.errors import (
-    BaseMismatchError,
-    DanglingReferenceError,
-    DigestMismatchError,
-    MalformedSnapshotError,
-)
-from ibiswick._internal.snapshots import (
+from ibiswick._internal.configuration.snapshots import (
     ApplyOutcome,
     apply_delta,
     build_snapshot,
@@ -21,6 +15,12 @@
     encode_snapshot,
     parse_snapshot,
 )
+from ibiswick._internal.shared.errors import (
+    BaseMismatchError,
+    DanglingReferenceError,
+    DigestMismatchError,
+    MalformedSnapshotError,
+)
 
 SNAPSHOT = build_snapshot(
     workspace="yorgan",
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -5,8 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ibiswick._internal.platform import StoredObject
-from ibiswick._internal.records import (
+from ibiswick._internal.administration.status import LEASE_CURRENT_S, LeaseTracker, compute_status
+from ibiswick._internal.shared.objectapi import StoredObject
+from ibiswick._internal.shared.records import (
     Head,
     Lease,
     Manifest,
@@ -16,7 +17,6 @@
     RootReport,
     WorkspaceReport,
 )
-from ibiswick._internal.status import LEASE_CURRENT_S, LeaseTracker, compute_status
 
 WORKSPACES = ["ege", "pannon", "yorgan"]
 GENERATIONS = st.integers(0, 9)
--- a/tests/test_templates.py
+++ b/tests/test_templates.py
@@ -10,9 +10,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ibiswick._internal.compiler import compile_workspace
-from ibiswick._internal.errors import InvalidInputError, Problem
-from ibiswick._internal.snapshots import build_snapshot, check_snapshot
+from ibiswick._internal.configuration.compiler import compile_workspace
+from ibiswick._internal.configuration.snapshots import build_snapshot, check_snapshot
+from ibiswick._internal.shared.errors import InvalidInputError, Problem
 
 DEPLOYMENTS = Path(__file__).parent.parent / "deployments"
 ROUTE = {"id": "r", "prefix": "/r", "service": "s"}
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -9,15 +9,21 @@
 from hypothesis import strategies as st
 
 from fakes import FakeClock, FakePlatform
-from ibiswick._internal import tokens
-from ibiswick._internal.errors import (
+from ibiswick._internal.administration import tokens
+from ibiswick._internal.administration.tokens import (
+    Action,
+    Role,
+    TokenStore,
+    TokenVerifier,
+    authorize,
+)
+from ibiswick._internal.shared.errors import (
     ConflictError,
     InvalidInputError,
     OverloadedError,
     PlatformUnavailableError,
     UnauthenticatedError,
 )
-from ibiswick._internal.tokens import Action, Role, TokenStore, TokenVerifier, authorize
 
 NAMES = st.sampled_from(["ege", "pannon", "yorgan"])
 SCOPES = st.none() | st.frozensets(NAMES)
