--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from bisect import insort
 from typing import NamedTuple
 
 QUEUE_LENGTH_PER_SLOT = 2
 # Weight of the newest observation in the mean duration of calls.
 DURATION_WEIGHT = 0.1
 INITIAL_DURATION_S = 0.02
+# Kinds of calls whose duration is remembered; a configuration has fewer kinds with traffic.
+MAX_KINDS = 256
 
 
 class Admitted(NamedTuple):
@@ -17,10 +19,14 @@
 
 
 class Queued(NamedTuple):
-    """Keep a call waiting for a slot until a moment (monotonic seconds)."""
+    """Keep a call waiting for a slot until a moment (monotonic seconds).
+
+    `displaced` is the ticket of a less urgent call that has lost its place in the full queue.
+    """
 
     ticket: int
     until: float
+    displaced: int | None = None
 
 
 class Refused(NamedTuple):
@@ -30,72 +36,149 @@
     retry_after_s: float
 
 
+class Claim(NamedTuple):
+    """Say what a call needs of the slots; moments are in monotonic seconds.
+
+    A smaller `priority` goes first. A response after `target` is worth little, so a call that would
+    wait past it is refused. `patience_s` is the longest wait that the caller accepts.
+    """
+
+    deadline: float | None = None
+    kind: str = ""
+    priority: int = 0
+    target: float | None = None
+    patience_s: float | None = None
+
+
+class _Waiting(NamedTuple):
+    """Order the queue by priority, then by arrival."""
+
+    priority: int
+    ticket: int
+    until: float
+
+
 class SlotQueue:
-    """Share the slots of one backend server and keep a short queue in order of arrival."""
+    """Share the slots of one backend server and keep a short queue, the most urgent calls first.
+
+    `queue_s` is None when only targets and deadlines limit the wait.
+    """
 
-    def __init__(self, *, slots: int, queue_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        queue_s: float | None,
+        length_per_slot: int = QUEUE_LENGTH_PER_SLOT,
+    ) -> None:
         self.slots = slots
         self.queue_s = queue_s
         self.busy = 0
-        self._waiting: OrderedDict[int, float] = OrderedDict()
+        self._length_per_slot = length_per_slot
+        self._waiting: list[_Waiting] = []
         self._next_ticket = 0
         self._duration_s = INITIAL_DURATION_S
+        self._kinds: dict[str, float] = {}
 
     @property
     def queued(self) -> int:
         """Return the number of waiting calls."""
         return len(self._waiting)
 
-    def offer(self, *, now: float, deadline: float | None) -> Admitted | Queued | Refused:
-        """Decide about a new call; without a deadline only the queue time limits its wait."""
-        if deadline is not None and deadline <= now:
+    def offer(
+        self, *, now: float, deadline: float | None = None, claim: Claim | None = None
+    ) -> Admitted | Queued | Refused:
+        """Decide about a new call; without a claim only its deadline and the queue time count."""
+        claim = claim or Claim(deadline)
+        if claim.deadline is not None and claim.deadline <= now:
             return Refused("deadline", self.estimate_wait())
         if self.busy < self.slots and not self._waiting:
             self.busy += 1
             return Admitted()
-        if len(self._waiting) >= QUEUE_LENGTH_PER_SLOT * self.slots or self.queue_s <= 0:
-            return Refused("queue-full", self.estimate_wait())
-        until = now + self.queue_s
-        if deadline is not None:
-            until = min(until, deadline)
+        wait_s = self.estimate_wait(priority=claim.priority)
+        if claim.patience_s is not None and wait_s > claim.patience_s:
+            return Refused("busy", wait_s)
+        until = self._find_limit(now, claim)
+        earliest = now if claim.target is None else now + wait_s
+        if until <= earliest:
+            return Refused("late", wait_s)
+        displaced = None
+        if len(self._waiting) >= self._length_per_slot * self.slots:
+            displaced = self._displace(claim.priority)
+            if displaced is None:
+                return Refused("queue-full", wait_s)
         self._next_ticket += 1
-        self._waiting[self._next_ticket] = until
-        return Queued(self._next_ticket, until)
-
-    def release(self, *, now: float, duration_s: float | None = None) -> list[int]:
+        insort(self._waiting, _Waiting(claim.priority, self._next_ticket, until))
+        return Queued(self._next_ticket, until, displaced)
+
+    def _find_limit(self, now: float, claim: Claim) -> float:
+        """Return the moment up to which a call may wait."""
+        until = math.inf if self.queue_s is None else now + self.queue_s
+        if claim.deadline is not None:
+            until = min(until, claim.deadline)
+        if claim.target is not None:
+            until = min(until, claim.target - self.estimate_duration(claim.kind))
+        return until
+
+    def _displace(self, priority: int) -> int | None:
+        """Remove the least urgent call if it is less urgent than the new one."""
+        if not self._waiting or self._waiting[-1].priority <= priority:
+            return None
+        return self._waiting.pop().ticket
+
+    def release(self, *, now: float, duration_s: float | None = None, kind: str = "") -> list[int]:
         """Give back a slot; return the tickets of the calls that now get one.
 
         The duration of a call that did not reach the backend server is None.
         """
         self.busy -= 1
         if duration_s is not None:
-            self._duration_s += DURATION_WEIGHT * (duration_s - self._duration_s)
+            self._note_duration(duration_s, kind)
         return self.admit(now=now)
 
+    def _note_duration(self, duration_s: float, kind: str) -> None:
+        self._duration_s += DURATION_WEIGHT * (duration_s - self._duration_s)
+        if kind in self._kinds:
+            self._kinds[kind] += DURATION_WEIGHT * (duration_s - self._kinds[kind])
+        elif len(self._kinds) < MAX_KINDS:
+            self._kinds[kind] = duration_s
+
     def admit(self, *, now: float) -> list[int]:
-        """Grant free slots in order of arrival and return the tickets."""
+        """Grant free slots, the most urgent calls first, and return their tickets."""
         granted = []
         while self._waiting and self.busy < self.slots:
-            ticket, until = self._waiting.popitem(last=False)
-            if until > now:
+            first = self._waiting.pop(0)
+            if first.until > now:
                 self.busy += 1
-                granted.append(ticket)
+                granted.append(first.ticket)
         return granted
 
     def withdraw(self, ticket: int) -> bool:
         """Remove a waiting call; False means that it has already been granted a slot."""
-        return self._waiting.pop(ticket, None) is not None
+        for index, waiting in enumerate(self._waiting):
+            if waiting.ticket == ticket:
+                del self._waiting[index]
+                return True
+        return False
+
+    def estimate_duration(self, kind: str = "") -> float:
+        """Return the seconds that a call of a kind probably holds its slot."""
+        return self._kinds.get(kind, self._duration_s)
 
-    def estimate_wait(self) -> float:
+    def estimate_wait(self, *, priority: int | None = None) -> float:
         """Return the seconds until a new call would probably get a slot."""
-        ahead = len(self._waiting) + 1
-        return ahead * self._duration_s / max(1, self.slots)
+        ahead = len(self._waiting)
+        if priority is not None:
+            ahead = sum(1 for waiting in self._waiting if waiting.priority <= priority)
+        return (ahead + 1) * self._duration_s / max(1, self.slots)
 
 
-def format_retry_after(seconds: float) -> bytes:
-    """Return the value of a `Retry-After` header, which has whole seconds.
+def format_retry_after(seconds: float, *, fractions: bool = False) -> bytes:
+    """Return the value of a `Retry-After` header, in whole seconds unless fractions are taken.
 
-    >>> format_retry_after(0.03), format_retry_after(2.1)
-    (b'1', b'3')
+    >>> format_retry_after(0.03), format_retry_after(2.1), format_retry_after(0.03, fractions=True)
+    (b'1', b'3', b'0.030')
     """
+    if fractions:
+        return b"%.3f" % max(0.0, seconds)
     return b"%d" % max(1, math.ceil(seconds))
--- a/src/ibiswick/_internal/calls/answers.py
+++ b/src/ibiswick/_internal/calls/answers.py
@@ -8,7 +8,7 @@
 from ..shared.errors import ResponseLostError
 from ..shared.records import Phase
 from .admission import format_retry_after
-from .heads import OUTCOME, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from .heads import OUTCOME, OUTCOME_NOT_RUN, OUTCOME_REJECTED, OUTCOME_UNKNOWN
 from .pool import ExchangeResponse, Headers
 from .serving import AbortResponseError, ServerRequest, encode_problem
 
@@ -29,9 +29,19 @@
     return Answer(status, code, own + (headers or []), body)
 
 
-def build_not_run(detail: str, *, retry_after_s: float) -> Answer:
+def build_not_run(detail: str, *, retry_after_s: float, fractions: bool = False) -> Answer:
     """Build the response to a call of which nothing reached a backend server."""
-    headers = [(OUTCOME, OUTCOME_NOT_RUN), (b"retry-after", format_retry_after(retry_after_s))]
+    retry_after = format_retry_after(retry_after_s, fractions=fractions)
+    headers = [(OUTCOME, OUTCOME_NOT_RUN), (b"retry-after", retry_after)]
+    return build_answer(503, "not-run", detail, headers)
+
+
+def build_rejected(detail: str, *, retry_after_s: float) -> Answer:
+    """Build the response to a call that the backend server refused, and so has not run."""
+    headers = [
+        (OUTCOME, OUTCOME_REJECTED),
+        (b"retry-after", format_retry_after(retry_after_s, fractions=True)),
+    ]
     return build_answer(503, "not-run", detail, headers)
 
 
--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -122,9 +122,22 @@
             self._local, self._remote = active, []
 
     def choose(
-        self, *, now: float, rng: random.Random, exclude: tuple[EndpointState, ...] = ()
+        self,
+        *,
+        now: float,
+        rng: random.Random,
+        exclude: tuple[EndpointState, ...] = (),
+        local_first: bool | None = None,
     ) -> EndpointState | None:
-        """Choose an endpoint for the next attempt; one in `exclude` only if there is no other."""
+        """Choose an endpoint for the next attempt; one in `exclude` only if there is no other.
+
+        `local_first` takes the place of the service's own preference for its availability zone.
+        """
+        if local_first is False and self._remote and self._local:
+            chosen = self._pick(self._local + self._remote, now, rng, exclude)
+            if chosen is not None or not exclude:
+                return chosen
+            return self.choose(now=now, rng=rng, local_first=local_first)
         chosen = self._pick(self._local, now, rng, exclude)
         if chosen is None or self._load_per_slot(chosen, now) >= SPILL_LOAD:
             remote = self._pick(self._remote, now, rng, exclude)
@@ -134,7 +147,7 @@
                 chosen = remote
         if chosen is not None or not exclude:
             return chosen
-        return self.choose(now=now, rng=rng)
+        return self.choose(now=now, rng=rng, local_first=local_first)
 
     def _pick(
         self,
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -13,10 +13,16 @@
 LOAD = b"ibiswick-load"
 WORKSPACE = b"ibiswick-workspace"
 SERVICE = b"ibiswick-service"
+# What the calling node asks of the slots of another node; see `Terms`.
+TERMS = b"ibiswick-terms"
+# Milliseconds for which a refused call would probably have waited.
+WAIT = b"ibiswick-wait-ms"
 OWN_PREFIX = b"ibiswick-"
 
 OUTCOME_NOT_RUN = b"not-run"
 OUTCOME_UNKNOWN = b"unknown"
+# The backend server itself refused the call, which therefore has not run.
+OUTCOME_REJECTED = b"rejected"
 
 MAX_DEADLINE_MS = 86_400_000
 
@@ -38,6 +44,63 @@
 _COMMON_CONNECTION_VALUES = frozenset((b"keep-alive", b"close", b"Keep-Alive"))
 
 
+class WireNames(NamedTuple):
+    """Name the headers that callers and backend servers use besides those of ibiswick.
+
+    They begin with the prefix of ibiswick's own headers, which are removed otherwise; an empty name
+    is not used. `attempt` holds the caller's id of the call, which a backend server echoes;
+    `caller_service` the service beside which the call began; `expected_instance` the only backend
+    server that may run it; `signature` proves that a response comes from a backend server;
+    `not_run` says that a backend server has not run the call.
+    """
+
+    attempt: bytes = b""
+    caller_service: bytes = b""
+    expected_instance: bytes = b""
+    signature: bytes = b""
+    not_run: bytes = b""
+
+
+NO_NAMES = WireNames()
+
+
+class Terms(NamedTuple):
+    """Say how a call may use slots; times are in milliseconds from its arrival.
+
+    A smaller `priority` goes first. After `target_ms` a response is worth little. `patience_ms` is
+    the longest wait for a slot that the calling node accepts before it asks elsewhere.
+    """
+
+    kind: str = ""
+    priority: int = 0
+    target_ms: int | None = None
+    patience_ms: int | None = None
+
+
+def format_terms(terms: Terms) -> bytes:
+    """Write terms as the value of a header.
+
+    >>> parse_terms(format_terms(Terms("status", 2, 300, None)))
+    Terms(kind='status', priority=2, target_ms=300, patience_ms=None)
+    """
+    target = "" if terms.target_ms is None else terms.target_ms
+    patience = "" if terms.patience_ms is None else terms.patience_ms
+    return f"{terms.priority},{target},{patience},{terms.kind}".encode("latin-1", "replace")
+
+
+def parse_terms(value: bytes) -> Terms:
+    """Read terms; what is malformed has its default.
+
+    >>> parse_terms(b"soon") == parse_terms(b"") == Terms()
+    True
+    """
+    fields = value.decode("latin-1").split(",", 3)
+    if len(fields) < 4 or not fields[0].isdigit():
+        return Terms()
+    target, patience = (int(field[:9]) if field.isdigit() else None for field in fields[1:3])
+    return Terms(fields[3], int(fields[0][:4]), target, patience)
+
+
 class RequestHead(NamedTuple):
     """Hold what a node needs to know of a request's headers, and those that it passes on."""
 
@@ -52,11 +115,15 @@
     workspace: bytes
     service: bytes
     passed: bytes
+    attempt: bytes = b""
+    terms: bytes = b""
 
 
-def read_request_head(headers: Headers) -> RequestHead:
-    """Sort the headers of a request in one pass."""
-    host = call_id = workspace = service = b""
+def read_request_head(
+    headers: Headers, names: WireNames = NO_NAMES, *, from_node: bool = False
+) -> RequestHead:
+    """Sort the headers of a request in one pass; only a node may name the caller's service."""
+    host = call_id = workspace = service = attempt = terms = b""
     hosts = 0
     length = deadline_ms = None
     chunked = trailers = expects_continue = False
@@ -73,10 +140,15 @@
             elif name == b"expect":
                 expects_continue = True
             elif name == b"connection" and value not in _COMMON_CONNECTION_VALUES:
-                return read_request_head(_drop_named(headers))
+                return read_request_head(_drop_named(headers), names, from_node=from_node)
             continue
         if name.startswith(OWN_PREFIX):
-            if name == DEADLINE:
+            if name == names.attempt:
+                attempt = value
+                passed += (name, b": ", value, b"\r\n")
+            elif name == names.caller_service and from_node:
+                passed += (name, b": ", value, b"\r\n")
+            elif name == DEADLINE:
                 deadline_ms = parse_milliseconds(value)
             elif name == CALL:
                 call_id = value
@@ -84,6 +156,8 @@
                 workspace = value
             elif name == SERVICE:
                 service = value
+            elif name == TERMS:
+                terms = value
             continue
         if name == b"host":
             host = value
@@ -101,6 +175,8 @@
         workspace,
         service,
         b"".join(passed),
+        attempt,
+        terms,
     )
 
 
@@ -177,27 +253,42 @@
     headers: Headers
     outcome: bytes
     load: Load | None
+    attempt: bytes = b""
+    signed: bool = False
+    not_run: bool = False
+    wait_ms: int | None = None
 
 
-def read_response_head(headers: Headers, status: int) -> ResponseHead:
+def read_response_head(headers: Headers, status: int, names: WireNames = NO_NAMES) -> ResponseHead:
     """Sort the headers of a response in one pass."""
-    outcome = b""
-    load = None
+    outcome = attempt = b""
+    load = wait_ms = None
+    signed = not_run = False
     passed = []
     dropped = _HOP_BY_HOP
     for item in headers:
         name, value = item
         if name in dropped:
             if name == b"connection" and value not in _COMMON_CONNECTION_VALUES:
-                return read_response_head(_drop_named(headers), status)
+                return read_response_head(_drop_named(headers), status, names)
         elif name.startswith(OWN_PREFIX):
-            if name == OUTCOME:
+            if name == names.attempt:
+                attempt = value
+                passed.append(item)
+            elif name == names.signature:
+                signed = True
+                passed.append(item)
+            elif name == names.not_run:
+                not_run = True
+            elif name == WAIT:
+                wait_ms = parse_milliseconds(value)
+            elif name == OUTCOME:
                 outcome = value
             elif name == LOAD:
                 load = parse_load(value)
         elif name != b"content-length" or status not in (204, 304):
             passed.append(item)
-    return ResponseHead(passed, outcome, load)
+    return ResponseHead(passed, outcome, load, attempt, signed, not_run, wait_ms)
 
 
 def write_framing(head: RequestHead, body: RequestBody) -> bytes:
@@ -214,10 +305,12 @@
 def find_retry_after(headers: Headers) -> float:
     """Return the seconds in a `Retry-After` header, or one.
 
-    >>> find_retry_after([(b"retry-after", b"3")]), find_retry_after([])
-    (3.0, 1.0)
+    >>> find_retry_after([(b"retry-after", b"3")]), find_retry_after([(b"retry-after", b"0.25")])
+    (3.0, 0.25)
+    >>> find_retry_after([])
+    1.0
     """
     for name, value in headers:
-        if name == b"retry-after" and value.isdigit():
+        if name == b"retry-after" and value.replace(b".", b"", 1).isdigit():
             return float(value[:6])
     return 1.0
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -6,18 +6,19 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..shared.blackboard import Blackboard
 from ..shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
 from ..shared.logs import EventLog
-from ..shared.records import Phase, Snapshot
-from .admission import Admitted, Queued, Refused, SlotQueue
+from ..shared.records import LocalInstance, Phase, Snapshot
+from .admission import QUEUE_LENGTH_PER_SLOT, Admitted, Claim, Queued, Refused, SlotQueue
 from .answers import (
     Answer,
     build_answer,
     build_closing_headers,
     build_not_run,
+    build_rejected,
     build_unknown,
     pass_response,
     send_answer,
@@ -28,15 +29,20 @@
     CALL,
     DEADLINE,
     LOAD,
+    NO_NAMES,
     OUTCOME,
     OUTCOME_NOT_RUN,
+    WAIT,
     RequestHead,
+    ResponseHead,
+    WireNames,
     format_load,
+    parse_terms,
     read_request_head,
     read_response_head,
     write_framing,
 )
-from .pool import Exchange, ExchangeResponse, Headers, Limits, Remote, Request
+from .pool import Exchange, ExchangeResponse, Headers, Limits, Remote, Request, read_whole
 from .serving import AbortResponseError, ServerRequest
 
 ALIVE_WITHIN_S = 1.0
@@ -50,6 +56,29 @@
 _log = EventLog(component="inbound")
 
 
+# Statuses that promise a caller that its call has not run; without its mark for that, a backend
+# server's response makes no such promise.
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+
+
+class AdmissionPolicy(NamedTuple):
+    """Say how calls wait for slots where backend servers announce themselves.
+
+    With `needs_instance`, calls are refused until a backend server has announced itself, and
+    its slots and service count. `queue_s` of None leaves the wait to targets and deadlines.
+    Responses up to `buffer_bytes` are passed on only when they are complete.
+    """
+
+    names: WireNames = NO_NAMES
+    needs_instance: bool = False
+    queue_s: float | None = DEFAULT_QUEUE_S
+    length_per_slot: int = QUEUE_LENGTH_PER_SLOT
+    buffer_bytes: int = 0
+
+
+DEFAULT_POLICY = AdmissionPolicy()
+
+
 class ConnectWatcher(Protocol):
     """Learn whether the backend server accepts connections."""
 
@@ -76,7 +105,10 @@
         watcher: ConnectWatcher,
         upload_idle_s: float,
         clock: Callable[[], float] | None = None,
+        policy: AdmissionPolicy = DEFAULT_POLICY,
     ) -> None:
+        self._policy = policy
+        self._names = policy.names
         self._workspace = workspace.encode()
         self._service_name = service
         self._service = service.encode()
@@ -90,7 +122,10 @@
         self._clock = clock or time.monotonic
         self._snapshot: Snapshot | None = None
         self._connections = DEFAULT_CONNECTIONS
-        self._queue = SlotQueue(slots=slots, queue_s=DEFAULT_QUEUE_S)
+        self._instance: LocalInstance | None = None
+        self._queue = SlotQueue(
+            slots=slots, queue_s=policy.queue_s, length_per_slot=policy.length_per_slot
+        )
         self._waiting: dict[int, asyncio.Future[bool]] = {}
 
     @property
@@ -100,7 +135,7 @@
 
     async def __call__(self, request: ServerRequest) -> None:
         """Answer one call of another node."""
-        head = read_request_head(request.headers)
+        head = read_request_head(request.headers, self._names, from_node=True)
         own: Headers = [(CALL, head.call_id)]
         refusal = self._check(head)
         if refusal is not None:
@@ -125,6 +160,8 @@
             return build_answer(400, "malformed-request", "the call id is missing")
         if head.trailers:
             return build_answer(501, "trailers-unsupported", "trailers are not supported")
+        if self._policy.needs_instance:
+            return self._check_instance(head)
         if head.service and head.service != self._service:
             self._counts.add("ibiswick_refused_total", "reason", "service")
             detail = "this node serves another service"
@@ -134,17 +171,40 @@
             return build_not_run("this node drains", retry_after_s=RETRY_AFTER_DRAINING_S)
         return None
 
+    def _check_instance(self, head: RequestHead) -> Answer | None:
+        """Return a refusal unless the backend server that announced itself takes the call."""
+        instance = self._board.instance.value
+        reason = ""
+        if self._board.phase.value in (Phase.DRAINING, Phase.STOPPED):
+            reason = "draining"
+        elif instance is None:
+            reason = "unannounced"
+        elif instance.leaving:
+            reason = "leaving"
+        elif head.service != instance.service.encode():
+            reason = "service"
+        if not reason:
+            return None
+        self._counts.add("ibiswick_refused_total", "reason", reason)
+        return build_not_run(
+            f"refused by the node: {reason}", retry_after_s=RETRY_AFTER_DRAINING_S, fractions=True
+        )
+
     async def _serve(self, request: ServerRequest, head: RequestHead, own: Headers) -> None:
         self._refresh()
         arrived = self._clock()
         deadline = None if head.deadline_ms is None else arrived + head.deadline_ms / 1000
-        refused = await self._acquire(arrived, deadline)
+        claim = build_claim(head, now=arrived, deadline=deadline)
+        refused = await self._acquire(arrived, claim)
         if refused is not None:
             self._counts.add("ibiswick_refused_total", "reason", refused.reason)
             self._counts.add("ibiswick_peer_calls_total", "result", "not-run")
             detail = f"no free slot: {refused.reason}"
-            answer = build_not_run(detail, retry_after_s=refused.retry_after_s)
-            send_answer(request, answer, self._add_load(own))
+            answer = build_not_run(
+                detail, retry_after_s=refused.retry_after_s, fractions=bool(self._names.attempt)
+            )
+            wait = (WAIT, b"%d" % int(refused.retry_after_s * 1000))
+            send_answer(request, answer, [*self._add_load(own), wait])
             return
         started = self._clock()
         reached = False
@@ -152,10 +212,15 @@
             reached = await self._forward(request, head, own, deadline)
         finally:
             now = self._clock()
-            self._grant(self._queue.release(now=now, duration_s=now - started if reached else None))
+            duration_s = now - started if reached else None
+            tickets = self._queue.release(now=now, duration_s=duration_s, kind=claim.kind)
+            self._grant(tickets)
 
     def _refresh(self) -> None:
         """Take over the policy of a new snapshot; the VM's own slots remain the upper limit."""
+        if self._policy.needs_instance:
+            self._follow_instance()
+            return
         snapshot = self._board.snapshot.value
         if snapshot is self._snapshot or snapshot is None:
             return
@@ -168,15 +233,28 @@
             self._connections = max(policy["connections"], self._queue.slots)
             self._grant(self._queue.admit(now=self._clock()))
 
+    def _follow_instance(self) -> None:
+        """Take over the slots of the backend server that announced itself."""
+        instance = self._board.instance.value
+        if instance is None or instance is self._instance:
+            return
+        self._instance = instance
+        self._queue.slots = instance.slots
+        # Every slot needs a connection, so that waiting for one is never a reason to refuse.
+        self._connections = max(DEFAULT_CONNECTIONS, instance.slots)
+        self._grant(self._queue.admit(now=self._clock()))
+
     # Slots
 
-    async def _acquire(self, now: float, deadline: float | None) -> Refused | None:
+    async def _acquire(self, now: float, claim: Claim) -> Refused | None:
         """Wait for a slot; return None once there is one."""
-        decision = self._queue.offer(now=now, deadline=deadline)
+        decision = self._queue.offer(now=now, claim=claim)
         if isinstance(decision, Admitted):
             return None
         if isinstance(decision, Refused):
             return decision
+        if decision.displaced is not None:
+            self._refuse_waiting(decision.displaced)
         return await self._wait_slot(decision, now)
 
     async def _wait_slot(self, queued: Queued, now: float) -> Refused | None:
@@ -206,9 +284,12 @@
 
     def _expire(self, ticket: int) -> None:
         """End the wait of a call that got no slot in time."""
+        self._queue.withdraw(ticket)
+        self._refuse_waiting(ticket)
+
+    def _refuse_waiting(self, ticket: int) -> None:
         waiting = self._waiting.get(ticket)
         if waiting is not None and not waiting.done():
-            self._queue.withdraw(ticket)
             waiting.set_result(False)
 
     def _grant(self, tickets: list[int]) -> None:
@@ -240,17 +321,26 @@
             answer = build_not_run(detail, retry_after_s=RETRY_AFTER_CONNECT_S)
             send_answer(request, answer, self._add_load(own))
             return False
+        names = self._names
         limits = Limits(
             deadline,
             None,
             self._upload_idle_s if deadline is None else None,
             ALIVE_WITHIN_S,
-            None,
+            head.attempt or None,
             self._connections,
+            call_header=names.attempt,
+            skip_others=bool(head.attempt),
+            until_close=bool(names.attempt),
         )
         forwarded = self._build_request(request, head, body, deadline)
         try:
             response = await self._exchange(self._remote, forwarded, limits)
+            passed = read_response_head(response.headers, response.status, names)
+            answer = await self._judge(response, passed)
+            if answer is None:
+                await self._pass(request, response, passed, own)
+                return True
         except NotSentError as error:
             if deadline is None or deadline - self._clock() > MIN_CONNECT_S:
                 self._watcher.note_connect_failure(str(error))
@@ -259,13 +349,29 @@
             answer = build_unknown(str(error), timed_out=True)
         except ResponseLostError as error:
             answer = build_unknown(str(error), timed_out=False)
-        else:
-            await self._pass(request, response, own)
-            return True
         self._counts.add("ibiswick_peer_calls_total", "result", answer.code)
         send_answer(request, answer, self._add_load(own))
         return answer.status == 504
 
+    async def _judge(self, response: ExchangeResponse, head: ResponseHead) -> Answer | None:
+        """Return the answer that takes the place of a response, or None to pass it on."""
+        names = self._names
+        status = response.status
+        if not names.attempt:
+            return None
+        if head.not_run or status == 421:
+            response.close()
+            detail = f"the backend server refused with {status}"
+            return build_rejected(detail, retry_after_s=self._queue.estimate_wait())
+        if status in PROMISING_STATUSES:
+            response.close()
+            return build_unknown(f"the backend server answered {status}", timed_out=False)
+        if 200 <= status < 300 and not (head.signed and head.attempt):
+            response.close()
+            detail = f"a response with {status} without the backend server's signature or call id"
+            return build_unknown(detail, timed_out=False)
+        return None
+
     async def _read_start(self, body: RequestBody, deadline: float | None) -> bool:
         """Read a body up to the size that is sent at once; return False when it is late."""
         limit_s = self._upload_idle_s if deadline is None else deadline - self._clock()
@@ -276,9 +382,20 @@
             return False
         return True
 
-    async def _pass(self, request: ServerRequest, response: ExchangeResponse, own: Headers) -> None:
+    async def _pass(
+        self,
+        request: ServerRequest,
+        response: ExchangeResponse,
+        passed: ResponseHead,
+        own: Headers,
+    ) -> None:
+        """Pass a response on; raise ResponseLostError when it breaks off before it is begun."""
         self._watcher.note_connect_success()
-        passed = read_response_head(response.headers, response.status)
+        if self._policy.buffer_bytes and request.method != "HEAD":
+            body = await read_whole(response, limit=self._policy.buffer_bytes)
+            request.respond(response.status, passed.headers + self._add_load(own), body)
+            self._counts.add("ibiswick_peer_calls_total", "result", "answered")
+            return
         headers = passed.headers + self._add_load(own)
         try:
             await pass_response(request, response, headers)
@@ -299,8 +416,21 @@
         if deadline is not None:
             remaining_ms = max(1, int((deadline - self._clock()) * 1000))
             lines += (DEADLINE, b": ", b"%d\r\n" % remaining_ms)
+        if self._names.expected_instance and self._instance is not None:
+            instance = self._instance.instance.encode("latin-1")
+            lines += (self._names.expected_instance, b": ", instance, b"\r\n")
         lines += (write_framing(head, body), b"\r\n")
         is_head = method == "HEAD"
         if body.whole:
             return Request(b"".join(lines), body.start, is_head=is_head)
         return Request(b"".join(lines), stream=body.stream(), chunked=head.chunked, is_head=is_head)
+
+
+def build_claim(head: RequestHead, *, now: float, deadline: float | None) -> Claim:
+    """Build the claim on a slot from the terms of a call."""
+    if not head.terms:
+        return Claim(deadline)
+    terms = parse_terms(head.terms)
+    target = None if terms.target_ms is None else now + terms.target_ms / 1000
+    patience_s = None if terms.patience_ms is None else terms.patience_ms / 1000
+    return Claim(deadline, terms.kind, terms.priority, target, patience_s)
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -29,19 +29,35 @@
 from .heads import (
     CALL,
     DEADLINE,
+    NO_NAMES,
     OUTCOME_NOT_RUN,
+    OUTCOME_REJECTED,
     SERVICE,
+    TERMS,
     WORKSPACE,
     RequestHead,
     ResponseHead,
+    Terms,
+    WireNames,
     find_retry_after,
+    format_terms,
     normalize_host,
     read_request_head,
     read_response_head,
     write_framing,
 )
-from .pool import ConnectionsBusyError, Exchange, ExchangeResponse, Limits, Remote, Request
+from .pool import (
+    ConnectionsBusyError,
+    Exchange,
+    ExchangeResponse,
+    Limits,
+    Remote,
+    Request,
+    read_whole,
+)
 from .retries import (
+    MIN_ATTEMPT_S,
+    Budget,
     Outcome,
     RetryBudget,
     compute_attempt_deadline,
@@ -50,9 +66,11 @@
     decide_hedge,
     decide_retry,
     shrink_deadline_ms,
+    spread_retry_after,
 )
 from .routes import RouteTable, has_dot_segment
 from .serving import AbortResponseError, ServerRequest
+from .splits import Splits
 
 # A connection that was silent for longer may have been closed or cut off by now, and a call that
 # must not run twice could not be sent again.
@@ -63,11 +81,40 @@
 FAILURE_STATUSES = frozenset((500, 502, 503, 504))
 RETRY_AFTER_DRAINING_S = 1.0
 
+# A call whose slot is free sooner waits; asking another node takes about as long.
+POLL_PATIENCE_MS = 10
+
 _log = EventLog(component="outbound")
 
 
+class CallPolicy(NamedTuple):
+    """Say how calls are carried where callers and backend servers expect more than the defaults.
+
+    `build_budget` builds the retry budget of a service from the present moment. Idempotent calls
+    are tried again after a response with one of `retry_statuses`. `polls` is how many nodes are
+    asked for a slot without waiting before a call waits for one; a node that refuses counts neither
+    as an attempt nor against the budget. Responses up to `buffer_bytes` are passed on only when
+    they are complete. `serves_draining` keeps serving callers until the node stops, and
+    `fractions` gives `Retry-After` in fractions of a second.
+    """
+
+    names: WireNames = NO_NAMES
+    build_budget: Callable[[float], Budget] = lambda now: RetryBudget(now=now)
+    retry_statuses: frozenset[int] = frozenset()
+    polls: int = 0
+    buffer_bytes: int = 0
+    serves_draining: bool = False
+    fractions: bool = False
+
+
+DEFAULT_POLICY = CallPolicy()
+
+
 class Attempt(NamedTuple):
-    """Hold the result of one attempt."""
+    """Hold the result of one attempt; `reached` tells that it may have reached a backend server.
+
+    `wait_s` is how long a refused call would probably have waited there.
+    """
 
     outcome: Outcome
     detail: str
@@ -75,6 +122,9 @@
     head: ResponseHead | None = None
     is_busy: bool = False
     retry_after_s: float = RETRY_AFTER_UNREADY_S
+    reached: bool = True
+    wait_s: float | None = None
+    body: bytes | None = None
 
 
 class Call:
@@ -82,14 +132,18 @@
 
     __slots__ = (
         "allowed",
+        "arrived",
         "attempts",
         "body",
         "deadline",
         "head",
         "maybe_ran",
         "method",
+        "polls",
+        "refusals",
         "route",
         "service",
+        "service_name",
         "target",
         "timed_out",
         "tried",
@@ -102,11 +156,19 @@
         target: bytes,
         route: Route,
         service: ServiceState,
+        service_name: str,
         head: RequestHead,
         body: RequestBody,
+        arrived: float,
         deadline: float | None,
+        polls: int,
     ) -> None:
         self.service = service
+        self.service_name = service_name
+        self.arrived = arrived
+        # How many more nodes may be asked for a slot, and the waits that those asked so far named.
+        self.polls = polls
+        self.refusals: list[tuple[float, EndpointState]] = []
         self.method = method
         self.target = target
         self.route = route
@@ -125,10 +187,10 @@
 
     __slots__ = ("balancer", "budget", "policy")
 
-    def __init__(self, policy: ServicePolicy, *, availability_zone: str, now: float) -> None:
+    def __init__(self, policy: ServicePolicy, *, availability_zone: str, budget: Budget) -> None:
         self.policy = policy
         self.balancer = Balancer(availability_zone=availability_zone)
-        self.budget = RetryBudget(now=now)
+        self.budget = budget
 
 
 class Outbound:
@@ -145,7 +207,13 @@
         upload_idle_s: float,
         rng: random.Random | None = None,
         clock: Callable[[], float] | None = None,
+        policy: CallPolicy = DEFAULT_POLICY,
+        origin: str = "",
     ) -> None:
+        self._policy = policy
+        self._names = policy.names
+        self._origin = _build_origin(policy.names, origin)
+        self._splits = Splits()
         self._workspace = workspace
         self._zone = availability_zone
         self._board = board
@@ -180,23 +248,30 @@
         """Return a refusal while this node must not carry calls."""
         board = self._board
         phase = board.phase.value
-        if phase in (Phase.DRAINING, Phase.STOPPED):
+        serves = self._policy.serves_draining and phase is Phase.DRAINING
+        if phase in (Phase.DRAINING, Phase.STOPPED) and not serves:
             self._counts.add("ibiswick_refused_total", "reason", "draining")
-            return build_not_run("this node drains", retry_after_s=RETRY_AFTER_DRAINING_S)
+            return self._build_not_run("this node drains", RETRY_AFTER_DRAINING_S)
         if not board.floor_confirmed.value or board.snapshot.value is None:
             self._counts.add("ibiswick_refused_total", "reason", "starting")
             detail = "this node has not confirmed its configuration yet"
-            return build_not_run(detail, retry_after_s=RETRY_AFTER_UNREADY_S)
+            return self._build_not_run(detail, RETRY_AFTER_UNREADY_S)
         return None
 
+    def _build_not_run(self, detail: str, retry_after_s: float) -> Answer:
+        return build_not_run(detail, retry_after_s=retry_after_s, fractions=self._policy.fractions)
+
     async def _serve(self, request: ServerRequest) -> None:
         call = await self._prepare(request)
         if isinstance(call, Answer):
             self._counts.add("ibiswick_calls_total", "result", call.code)
+            _log.info("call-refused", code=call.code, path=request.path)
             send_answer(request, call)
             return
+        if self._names.attempt and not call.route["idempotent"]:
+            await request.wait_turn()
         service = call.service
-        service.budget.note_call()
+        service.budget.note_call(now=call.arrived)
         hedge_s = decide_hedge(
             idempotent=call.route["idempotent"],
             replayable=call.body.whole,
@@ -213,7 +288,7 @@
     async def _prepare(self, request: ServerRequest) -> Call | Answer:
         """Find the route and read the start of the body."""
         self._refresh()
-        head = read_request_head(request.headers)
+        head = read_request_head(request.headers, self._names)
         path = request.path
         if head.trailers:
             return build_answer(501, "trailers-unsupported", "trailers are not supported")
@@ -226,7 +301,8 @@
         if route is None:
             return build_answer(404, "no-route", "no route matches the host, path and method")
         # A new snapshot may remove the service while the body arrives.
-        service = self._services[route["service"]]
+        service_name = self._splits.choose(route)
+        service = self._services[service_name]
         now = self._clock()
         deadline = None
         is_upload = route["kind"] == "upload"
@@ -244,15 +320,18 @@
             except TimeoutError:
                 self._counts.add("ibiswick_refused_total", "reason", "body-late")
                 detail = "the body did not arrive in time"
-                return build_not_run(detail, retry_after_s=RETRY_AFTER_UNREADY_S)
+                return self._build_not_run(detail, RETRY_AFTER_UNREADY_S)
         return Call(
             method=method,
             target=request.target,
             route=route,
             service=service,
+            service_name=service_name,
             head=head,
             body=body,
+            arrived=now,
             deadline=deadline,
+            polls=self._policy.polls,
         )
 
     def _refresh(self) -> None:
@@ -264,10 +343,12 @@
         now = self._clock()
         if snapshot is not None and snapshot is not self._snapshot:
             self._table = RouteTable(snapshot.routes)
+            self._splits.update(snapshot.routes)
             for name, policy in snapshot.services.items():
                 state = self._services.get(name)
                 if state is None:
-                    state = ServiceState(policy, availability_zone=self._zone, now=now)
+                    budget = self._policy.build_budget(now)
+                    state = ServiceState(policy, availability_zone=self._zone, budget=budget)
                     self._services[name] = state
                 state.policy = policy
             for name in self._services.keys() - snapshot.services.keys():
@@ -292,15 +373,35 @@
         """Make attempts until one is final; at the first that is, return at once."""
         while True:
             attempt = await self._try_once(call, service)
-            if attempt.outcome is Outcome.RESPONSE:
+            if attempt.outcome is Outcome.RESPONSE and not self._is_repeatable(call, attempt):
                 return attempt
+            if self._may_ask_elsewhere(call, attempt):
+                continue
             if not await self._may_repeat(call, service, attempt):
                 return attempt
 
+    def _is_repeatable(self, call: Call, attempt: Attempt) -> bool:
+        """Tell whether a response may be replaced by that of another attempt."""
+        status = attempt.response.status if attempt.response is not None else 0
+        return call.route["idempotent"] and status in self._policy.retry_statuses
+
+    def _may_ask_elsewhere(self, call: Call, attempt: Attempt) -> bool:
+        """Tell whether another node is asked after one that refused before the backend server."""
+        if attempt.reached or call.polls <= 0 or not call.body.replayable:
+            return False
+        call.polls -= 1
+        return call.deadline is None or call.deadline - self._clock() > MIN_ATTEMPT_S
+
     async def _may_repeat(self, call: Call, service: ServiceState, attempt: Attempt) -> bool:
         now = self._clock()
+        outcome = attempt.outcome
+        if outcome is Outcome.RESPONSE:
+            # A failure that the backend server reported; the call has run.
+            outcome = Outcome.LOST
+        elif not attempt.reached and self._policy.polls:
+            return False
         decision = decide_retry(
-            attempt.outcome,
+            outcome,
             idempotent=call.route["idempotent"],
             replayable=call.body.replayable,
             attempts=call.attempts,
@@ -341,13 +442,14 @@
         """Make one attempt on one endpoint and note what was observed of it."""
         now = self._clock()
         balancer = service.balancer
-        call.attempts += 1
         for change in balancer.readmit(now=now):
             self._log_health(change)
-        state = balancer.choose(now=now, rng=self._rng, exclude=call.tried)
+        call.attempts += 1
+        state = self._choose(call, balancer, now)
         if state is None:
             self._counts.add("ibiswick_refused_total", "reason", "no-endpoint")
-            return Attempt(Outcome.NOT_RUN, "the service has no endpoint")
+            call.polls = 0
+            return Attempt(Outcome.NOT_RUN, "the service has no endpoint", reached=False)
         call.tried += (state,)
         state.in_flight += 1
         try:
@@ -358,18 +460,35 @@
         finally:
             state.in_flight -= 1
         self._counts.add("ibiswick_attempts_total", "outcome", attempt.outcome)
+        if self._policy.polls and not attempt.reached:
+            call.attempts -= 1
+            if attempt.wait_s is not None:
+                call.refusals.append((attempt.wait_s, state))
         if attempt.outcome in (Outcome.LOST, Outcome.TIMEOUT):
             call.maybe_ran = True
             call.timed_out = attempt.outcome is Outcome.TIMEOUT
         self._note_outcome(balancer, state, attempt, now)
         return attempt
 
+    def _choose(self, call: Call, balancer: Balancer, now: float) -> EndpointState | None:
+        """Choose an endpoint; the last poll goes where the wait for a slot is the shortest."""
+        if call.refusals and call.polls == 0:
+            return min(call.refusals, key=_get_wait)[1]
+        return balancer.choose(
+            now=now,
+            rng=self._rng,
+            exclude=call.tried,
+            local_first=call.route.get("prefers_local"),
+        )
+
     async def _send(
         self, call: Call, service: ServiceState, state: EndpointState, now: float
     ) -> Attempt:
         endpoint = state.endpoint
         if call.deadline is not None and call.deadline <= now:
-            return Attempt(Outcome.NOT_RUN, "the deadline passed before the call was sent")
+            call.polls = 0
+            detail = "the deadline passed before the call was sent"
+            return Attempt(Outcome.NOT_RUN, detail, reached=False)
         call_id = b"%b-%d" % (self._id_prefix, next(self._ids))
         idempotent = call.route["idempotent"]
         deadline = head_deadline = call.deadline
@@ -378,7 +497,7 @@
                 now=now,
                 deadline=deadline,
                 idempotent=idempotent,
-                attempts_left=call.allowed - call.attempts + 1,
+                attempts_left=self._count_attempts_left(call, service, now),
                 typical_s=service.balancer.typical_latency_s,
             )
         limits = Limits(
@@ -394,17 +513,30 @@
         try:
             response = await self._exchange(remote, request, limits)
         except ConnectionsBusyError as error:
-            return Attempt(Outcome.NOT_RUN, str(error), is_busy=True)
+            return Attempt(Outcome.NOT_RUN, str(error), is_busy=True, reached=False)
         except NotSentError as error:
-            return Attempt(Outcome.NOT_RUN, str(error))
+            return Attempt(Outcome.NOT_RUN, str(error), reached=False)
         except ExchangeTimeoutError as error:
             return Attempt(Outcome.TIMEOUT, str(error))
         except ResponseLostError as error:
             return Attempt(Outcome.LOST, str(error))
-        head = read_response_head(response.headers, response.status)
-        if not head.outcome:
+        head = read_response_head(response.headers, response.status, self._names)
+        if head.outcome:
+            return await self._read_peer_outcome(response, head)
+        if not self._policy.buffer_bytes or call.method == "HEAD":
             return Attempt(Outcome.RESPONSE, "", response, head)
-        return await self._read_peer_outcome(response, head)
+        try:
+            body = await read_whole(response, limit=self._policy.buffer_bytes)
+        except ExchangeTimeoutError as error:
+            return Attempt(Outcome.TIMEOUT, str(error))
+        except ResponseLostError as error:
+            return Attempt(Outcome.LOST, str(error))
+        return Attempt(Outcome.RESPONSE, "", response, head, body=body)
+
+    def _count_attempts_left(self, call: Call, service: ServiceState, now: float) -> int:
+        """Return how many attempts share the time left, this one included."""
+        left = call.allowed - call.attempts + 1
+        return left if service.budget.allows(now=now) else min(left, 1)
 
     async def _read_peer_outcome(self, response: ExchangeResponse, head: ResponseHead) -> Attempt:
         """Interpret a response made by the peer's node itself."""
@@ -415,10 +547,18 @@
                 pass
         except ResponseLostError as error:
             detail = str(error)
-        if head.outcome == OUTCOME_NOT_RUN:
+        if head.outcome in (OUTCOME_NOT_RUN, OUTCOME_REJECTED):
             is_busy = head.load is not None and head.load.in_flight >= head.load.slots
-            retry_after_s = find_retry_after(head.headers)
-            return Attempt(Outcome.NOT_RUN, detail, None, head, is_busy, retry_after_s)
+            return Attempt(
+                Outcome.NOT_RUN,
+                detail,
+                None,
+                head,
+                is_busy,
+                find_retry_after(head.headers),
+                reached=head.outcome == OUTCOME_REJECTED,
+                wait_s=None if head.wait_ms is None else head.wait_ms / 1000,
+            )
         if response.status == 504:
             return Attempt(Outcome.TIMEOUT, detail, None, head)
         return Attempt(Outcome.LOST, detail, None, head)
@@ -439,8 +579,11 @@
             b"\r\n" + WORKSPACE + b": ",
             self._workspace.encode(),
             b"\r\n" + SERVICE + b": ",
-            call.route["service"].encode(),
+            call.service_name.encode(),
         ]
+        if self._names.attempt:
+            terms = self._build_terms(call, now)
+            lines += (self._origin, b"\r\n" + TERMS + b": ", format_terms(terms))
         if deadline is not None:
             remaining_ms = shrink_deadline_ms(now=now, deadline=deadline)
             lines += (b"\r\n" + DEADLINE + b": ", b"%d" % remaining_ms)
@@ -458,6 +601,15 @@
             await_continue=True,
         )
 
+    def _build_terms(self, call: Call, now: float) -> Terms:
+        """Say how urgent the call is and how long it may wait for a slot."""
+        route = call.route
+        target_ms = route.get("target_ms")
+        if target_ms is not None:
+            target_ms = max(0, target_ms - int((now - call.arrived) * 1000))
+        patience_ms = POLL_PATIENCE_MS if call.polls > 0 else None
+        return Terms(route["id"], route.get("priority", 0), target_ms, patience_ms)
+
     def _note_outcome(
         self, balancer: Balancer, state: EndpointState, attempt: Attempt, started: float
     ) -> None:
@@ -472,7 +624,7 @@
             return
         if attempt.outcome is Outcome.TIMEOUT:
             balancer.note_abandoned(state, latency_s=now - started)
-        if attempt.is_busy:
+        if attempt.is_busy or attempt.wait_s is not None:
             # The backend server is busy, not broken.
             return
         reason = f"status-{status}" if status else attempt.outcome.value
@@ -487,8 +639,15 @@
         if response is None or head is None:
             answer = self._build_failure(call, attempt)
             self._counts.add("ibiswick_calls_total", "result", answer.code)
+            self._log_failure(call, attempt, answer.status)
             send_answer(request, answer)
             return
+        if attempt.body is not None:
+            if response.status >= 500:
+                self._log_failure(call, attempt, response.status)
+            request.respond(response.status, head.headers, attempt.body)
+            self._counts.add("ibiswick_calls_total", "result", "answered")
+            return
         try:
             await pass_response(request, response, head.headers)
         except AbortResponseError:
@@ -503,7 +662,42 @@
         """
         if call.maybe_ran:
             return build_unknown(attempt.detail, timed_out=call.timed_out)
-        return build_not_run(attempt.detail, retry_after_s=attempt.retry_after_s)
+        if not self._policy.fractions:
+            return build_not_run(attempt.detail, retry_after_s=attempt.retry_after_s)
+        remaining_s = 0.0 if call.deadline is None else call.deadline - self._clock()
+        retry_after_s = spread_retry_after(
+            wait_s=attempt.retry_after_s, remaining_s=remaining_s, rng=self._rng
+        )
+        return self._build_not_run(attempt.detail, retry_after_s)
+
+    def _log_failure(self, call: Call, attempt: Attempt, status: int) -> None:
+        """Log a call without a good response, with what decided it."""
+        now = self._clock()
+        _log.info(
+            "call-failed",
+            id=call.head.attempt.decode("latin-1") or "-",
+            status=status,
+            route=call.route["id"],
+            service=call.service_name,
+            generation=self._snapshot.generation if self._snapshot else 0,
+            tried=",".join(state.endpoint.vm for state in call.tried) or "-",
+            attempts=call.attempts,
+            outcome=attempt.outcome.value,
+            detail=attempt.detail,
+            age_ms=int((now - call.arrived) * 1000),
+            left_ms="-" if call.deadline is None else int((call.deadline - now) * 1000),
+        )
+
+
+def _get_wait(refusal: tuple[float, EndpointState]) -> float:
+    return refusal[0]
+
+
+def _build_origin(names: WireNames, service: str) -> bytes:
+    """Build the header line that names the service beside which calls begin."""
+    if not names.caller_service:
+        return b""
+    return b"\r\n%b: %b" % (names.caller_service, service.encode("latin-1"))
 
 
 async def _take_first(tasks: set[asyncio.Task[Attempt]]) -> Attempt:
--- a/src/ibiswick/_internal/calls/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import socket
 import ssl
 import time
 from collections import deque
@@ -31,6 +32,8 @@
 CONTINUE_STATUS = 100
 MAX_STATUS = 599
 SWEEP_INTERVAL_S = 1.0
+# A request that is sent so shortly before the server's idle timeout may meet a closed connection.
+IDLE_MARGIN_S = 0.5
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -70,7 +73,9 @@
     `deadline` is in monotonic seconds; the head of the response is due by `head_deadline` if that
     is given. With `idle_s` the exchange fails after that many seconds without a byte in either
     direction. `alive_within_s` allows only connections that received bytes within that time, or
-    new ones. `call_id` must come back in the response.
+    new ones. `call_id` must come back in the header `call_header` of the response; a response with
+    another id answers an earlier call and is skipped if `skip_others` is set. Without a length, the
+    body of a response is complete at the end of the connection if `until_close` is set.
     """
 
     deadline: float | None
@@ -79,6 +84,9 @@
     alive_within_s: float | None = None
     call_id: bytes | None = None
     connections: int = DEFAULT_CONNECTIONS
+    call_header: bytes = b"ibiswick-call"
+    skip_others: bool = False
+    until_close: bool = False
 
 
 class ExchangeResponse(Protocol):
@@ -182,23 +190,26 @@
 
     __slots__ = (
         "_bucket",
-        "_call_id",
         "_continued",
         "_deadline",
         "_due",
         "_idle_s",
         "_is_head",
+        "_limits",
         "_parser",
         "_reading_paused",
         "_response",
         "_sender",
         "_sent_at",
+        "_skipping",
         "_surplus",
         "_timer",
         "_timer_at",
         "_transport",
+        "_until_close",
         "_writable",
         "head_bytes",
+        "idle_limit_s",
         "idle_since",
         "loop",
         "progress_at",
@@ -214,7 +225,7 @@
         self._sender: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
-        self._call_id: bytes | None = None
+        self._limits = Limits(None)
         self._continued: asyncio.Future[None] | None = None
         self._deadline: float | None = None
         self._due: float | None = None
@@ -222,12 +233,18 @@
         self._idle_s: float | None = None
         self._is_head = False
         self._surplus = False
+        # The response that arrives answers an earlier call.
+        self._skipping = False
+        # The end of the connection ends the body.
+        self._until_close = False
         self._reading_paused = False
         self._sent_at = 0.0
         self.head_bytes = 0
         self.received_at = 0.0
         self.progress_at = 0.0
         self.idle_since = 0.0
+        # How long the server keeps the connection without a request, as it said last.
+        self.idle_limit_s: float | None = None
 
     # Transport callbacks
 
@@ -272,11 +289,16 @@
             response.wake()
 
     def eof_received(self) -> None:
-        return None
+        response = self._response
+        if response is not None and response.has_head and self._until_close:
+            response.complete = True
+            self._surplus = True
+            self._finish(response)
 
     # Parser callbacks
 
     def on_message_begin(self) -> None:
+        self._skipping = False
         response = self._response
         if response is None or response.complete:
             self._surplus = True
@@ -286,7 +308,7 @@
         if self.head_bytes > MAX_RESPONSE_HEAD_BYTES:
             raise ValueError("the response head is too large")
         response = self._response
-        if response is None or response.complete or response.has_head:
+        if response is None or response.complete or response.has_head or self._skipping:
             # Trailers are not passed on.
             return
         response.headers.append((name.lower(), value.rstrip(b" \t")))
@@ -300,18 +322,26 @@
             return
         if status > MAX_STATUS:
             raise ValueError(f"the status {status} does not exist")
+        limits = self._limits
         call_id = None
         has_length = self._is_head or status in (204, 304)
         for name, value in response.headers:
             if name == b"content-length" or name == b"transfer-encoding":
                 has_length = True
-            elif name == b"ibiswick-call":
+            elif name == b"keep-alive":
+                self.idle_limit_s = parse_keep_alive(value)
+            if name == limits.call_header:
                 call_id = value
-        if self._call_id is not None and call_id != self._call_id:
+        if limits.skip_others and call_id is not None and call_id != limits.call_id:
+            self._skip(response)
+            return
+        if limits.call_id is not None and call_id != limits.call_id and not limits.skip_others:
             raise ValueError("the response belongs to another call")
         if not has_length:
-            # The end of such a body cannot be told from a lost connection.
-            raise ValueError("the response has no length")
+            if not limits.until_close:
+                # The end of such a body cannot be told from a lost connection.
+                raise ValueError("the response has no length")
+            self._until_close = True
         response.status = status
         response.has_head = True
         if self._is_head:
@@ -319,7 +349,15 @@
             self._surplus = not parser.should_keep_alive() or self._surplus
             response.complete = True
 
+    def _skip(self, response: Response) -> None:
+        """Ignore a response to an earlier call; the one that is awaited may follow."""
+        response.headers.clear()
+        self._skipping = True
+        self._surplus = True
+
     def on_body(self, body: bytes) -> None:
+        if self._skipping:
+            return
         response = self._response
         if response is None or response.complete:
             self._surplus = True
@@ -328,7 +366,7 @@
 
     def on_message_complete(self) -> None:
         response, parser = self._response, self._parser
-        if response is None or parser is None or response.complete:
+        if response is None or parser is None or response.complete or self._skipping:
             return
         if not response.has_head:
             # An interim response (1xx); the final one follows.
@@ -359,7 +397,8 @@
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
         self._response = response = Response(self)
-        self._call_id = limits.call_id
+        self._limits = limits
+        self._skipping = self._until_close = False
         self._is_head = request.is_head
         self._surplus = False
         self.head_bytes = 0
@@ -459,6 +498,12 @@
             self._bucket.release(self)
         response.wake()
 
+    def is_stale(self, *, now: float, idle_limit_s: float) -> bool:
+        """Tell whether the server may close the connection before it reads another request."""
+        if self.idle_limit_s is not None:
+            idle_limit_s = min(idle_limit_s, self.idle_limit_s - IDLE_MARGIN_S)
+        return now - self.idle_since > idle_limit_s
+
     def fail(self, error: ResponseLostError) -> None:
         """End the exchange with an error and close the connection."""
         sender, self._sender = self._sender, None
@@ -501,6 +546,32 @@
         return self._transport.get_extra_info("peercert")
 
 
+def parse_keep_alive(value: bytes) -> float | None:
+    """Return the seconds of the parameter `timeout` of a `Keep-Alive` header, if it has one.
+
+    >>> parse_keep_alive(b"timeout=5, max=100"), parse_keep_alive(b"max=100")
+    (5.0, None)
+    """
+    for parameter in value.split(b","):
+        name, _, number = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number[:6])
+    return None
+
+
+async def read_whole(response: ExchangeResponse, *, limit: int) -> bytes:
+    """Read the rest of a body; raise ResponseLostError when it breaks off or exceeds the limit."""
+    parts = [response.take()]
+    size = len(parts[0])
+    while part := await response.read():
+        parts.append(part)
+        size += len(part)
+        if size > limit:
+            response.close()
+            raise ResponseLostError("the response body is too large")
+    return b"".join(parts)
+
+
 class Bucket:
     """Hold the connections to one remote."""
 
@@ -554,7 +625,7 @@
         """Return the connection used last, if it is fresh enough."""
         while self._idle:
             connection = self._idle[-1]
-            if not connection.usable or now - connection.idle_since > idle_limit_s:
+            if not connection.usable or connection.is_stale(now=now, idle_limit_s=idle_limit_s):
                 self._idle.pop()
                 connection.abort()
                 continue
@@ -577,8 +648,9 @@
 
     def close_expired(self, *, now: float, idle_limit_s: float) -> None:
         """Close the connections that were idle too long."""
-        for connection in [c for c in self._idle if now - c.idle_since > idle_limit_s]:
-            connection.abort()
+        for connection in list(self._idle):
+            if connection.is_stale(now=now, idle_limit_s=idle_limit_s):
+                connection.abort()
 
     def close_all(self) -> None:
         """Close every connection."""
@@ -602,7 +674,8 @@
     """Exchange requests and responses over kept connections.
 
     `idle_limit_s` must be shorter than the servers' keep-alive time, so that this side closes
-    first and no request meets a connection that the server is closing.
+    first and no request meets a connection that the server is closing. A connection on which sent
+    bytes stay unacknowledged for `unacknowledged_s` is given up, whatever its deadline.
     """
 
     def __init__(
@@ -611,7 +684,9 @@
         idle_limit_s: float,
         ssl_context: ssl.SSLContext | None = None,
         check_certificate: Callable[[dict[str, Any] | None, Remote], bool] | None = None,
+        unacknowledged_s: float | None = None,
     ) -> None:
+        self._unacknowledged_s = unacknowledged_s
         self._idle_limit_s = idle_limit_s
         self._ssl = ssl_context
         self._check_certificate = check_certificate
@@ -664,9 +739,10 @@
         opened = False
         try:
             async with asyncio.timeout(min(CONNECT_TIMEOUT_S, _limit_wait(limits))):
-                await loop.create_connection(
+                transport, _ = await loop.create_connection(
                     lambda: connection, remote.host, remote.port, ssl=self._ssl
                 )
+            self._limit_silence(transport)
             opened = True
         except TimeoutError:
             raise NotSentError(f"connecting to {remote.host}:{remote.port} took too long") from None
@@ -685,6 +761,14 @@
             raise NotSentError(f"{remote.host}:{remote.port} has the certificate of another node")
         return connection
 
+    def _limit_silence(self, transport: asyncio.Transport) -> None:
+        if self._unacknowledged_s is None:
+            return
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            limit_ms = int(self._unacknowledged_s * 1000)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
     def _start_sweeper(self, loop: asyncio.AbstractEventLoop) -> None:
         if self._sweeper is None:
             self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep, loop)
@@ -745,13 +829,6 @@
         request = Request(head, body, is_head=method == "HEAD")
         limits = Limits(deadline=time.monotonic() + timeout_s)
         response = await self._pool.exchange(self._remote, request, limits)
-        parts = []
-        size = 0
-        while part := await response.read():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_FETCH_BODY_BYTES:
-                response.close()
-                raise ResponseLostError("the response body is too large")
+        content = await read_whole(response, limit=MAX_FETCH_BODY_BYTES)
         text = {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
-        return FetchResponse(response.status, text, b"".join(parts))
+        return FetchResponse(response.status, text, content)
--- a/src/ibiswick/_internal/calls/retries.py
+++ b/src/ibiswick/_internal/calls/retries.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import random
+from collections import deque
+from collections.abc import Callable
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 MAX_EXTRA_ATTEMPTS = 2
 BUDGET_RATIO = 0.2
@@ -14,6 +16,10 @@
 BUDGET_REFILL_PER_S = 0.5
 BACKOFF_BASE_S = 0.002
 BACKOFF_LIMIT_S = 0.05
+# Returning callers are spread over at least this time, a few durations of typical calls.
+RETRY_SPREAD_S = 0.1
+# Sum of the latencies between the choice of an endpoint and the arrival at a backend server.
+ARRIVAL_MARGIN_S = 1.0
 # The node behind the caller's node gives up this much earlier, so that its own answer arrives
 # in time and the connection between the nodes survives.
 DEADLINE_MARGIN_S = 0.005
@@ -39,6 +45,67 @@
     reason: str
 
 
+class Budget(Protocol):
+    """Limit the extra attempts of one service."""
+
+    def note_call(self, *, now: float) -> None:
+        """Count one call from a caller."""
+
+    def allows(self, *, now: float) -> bool:
+        """Tell whether an extra attempt could be made."""
+
+    def take(self, *, now: float) -> bool:
+        """Take one extra attempt, if there is one left."""
+
+
+class RetryWindow:
+    """Limit extra attempts to a share of the calls of a sliding window, and a fixed part.
+
+    The fixed part is the node's share of what the whole fleet may use.
+
+    >>> window = RetryWindow(ratio=0.5, window_s=10.0, slack=lambda: 1.0)
+    >>> window.note_call(now=0.0)
+    >>> window.note_call(now=0.0)
+    >>> [window.take(now=1.0) for _ in range(3)]
+    [True, True, False]
+    >>> window.take(now=12.5)
+    True
+    """
+
+    __slots__ = ("_calls", "_ratio", "_retries", "_slack", "_window_s")
+
+    def __init__(self, *, ratio: float, window_s: float, slack: Callable[[], float]) -> None:
+        self._ratio = ratio
+        self._window_s = window_s
+        self._slack = slack
+        self._calls: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def note_call(self, *, now: float) -> None:
+        """Count one call from a caller."""
+        self._calls.append(now)
+        _drop_before(self._calls, now - self._window_s)
+
+    def allows(self, *, now: float) -> bool:
+        """Tell whether an extra attempt could be made."""
+        _drop_before(self._calls, now - self._window_s)
+        # An attempt may arrive later than it is counted here.
+        _drop_before(self._retries, now - self._window_s - ARRIVAL_MARGIN_S)
+        return len(self._retries) + 1 <= self._ratio * len(self._calls) + self._slack()
+
+    def take(self, *, now: float) -> bool:
+        """Take one extra attempt, if there is one left."""
+        if not self.allows(now=now):
+            return False
+        self._retries.append(now)
+        return True
+
+
+def _drop_before(moments: deque[float], limit: float) -> None:
+    while moments and moments[0] < limit:
+        moments.popleft()
+
+
 class RetryBudget:
     """Limit the extra attempts of one service to a share of its calls.
 
@@ -53,21 +120,28 @@
         self._tokens = BUDGET_MINIMUM
         self._refilled_at = now
 
-    def note_call(self) -> None:
+    def note_call(self, *, now: float = 0.0) -> None:
         """Earn a share of a token by one call from a caller."""
         if self._tokens < BUDGET_MAXIMUM:
             self._tokens += BUDGET_RATIO
 
+    def allows(self, *, now: float) -> bool:
+        """Tell whether there is a token for an extra attempt."""
+        self._refill(now)
+        return self._tokens >= 1.0
+
     def take(self, *, now: float) -> bool:
         """Take one token for an extra attempt, if there is one."""
+        if not self.allows(now=now):
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _refill(self, now: float) -> None:
         elapsed = now - self._refilled_at
         self._refilled_at = now
         if self._tokens < BUDGET_MINIMUM:
             self._tokens = min(BUDGET_MINIMUM, self._tokens + elapsed * BUDGET_REFILL_PER_S)
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
 
 
 def count_attempts(retries: int) -> int:
@@ -84,7 +158,7 @@
     allowed: int,
     remaining_s: float,
     elsewhere: bool,
-    budget: RetryBudget,
+    budget: Budget,
     now: float,
     rng: random.Random,
 ) -> RetryDecision:
@@ -151,3 +225,13 @@
     if hedge_ms is None or not idempotent or not replayable:
         return None
     return hedge_ms / 1000
+
+
+def spread_retry_after(*, wait_s: float, remaining_s: float, rng: random.Random) -> float:
+    """Return when a refused caller should come back, at most a third of its remaining time.
+
+    The spread keeps callers that were refused together from returning together.
+    """
+    limit_s = max(0.0, remaining_s) / 3
+    earliest_s = min(wait_s, limit_s)
+    return rng.uniform(earliest_s / 2, min(limit_s, max(earliest_s * 1.5, RETRY_SPREAD_S)))
--- a/src/ibiswick/_internal/calls/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -1,7 +1,7 @@
 """Serve HTTP/1.1 on httptools inside the node's own event loop.
 
-A connection carries one request at a time. Requests that a caller pipelines wait, and reading
-pauses until they have been started.
+A connection answers its requests in the order in which they came. A listener says how many of
+them may be served at once; the others wait, and reading pauses until they have been started.
 """
 
 from __future__ import annotations
@@ -20,14 +20,17 @@
 import msgspec
 
 from ..shared.logs import EventLog
+from ..shared.records import CallerLimits
 from .parts import Parts
 
-# Longer than the idle limit of the nodes' own pools, so that these close first.
-KEEP_ALIVE_S = 60
+DEFAULT_LIMITS = CallerLimits()
+KEEP_ALIVE_S = DEFAULT_LIMITS.idle_s
 BACKLOG = 1024
-MAX_REQUEST_HEAD_BYTES = 64 * 1024
+MAX_REQUEST_HEAD_BYTES = DEFAULT_LIMITS.head_bytes
 # Bytes of a request's body that may wait for their reader before the connection stops reading.
 REQUEST_HIGH_WATER_BYTES = 64 * 1024
+# Bytes of a response that wait for the responses before it.
+HELD_HIGH_WATER_BYTES = 64 * 1024
 SHUTDOWN_LIMIT_S = 5
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -54,8 +57,13 @@
 
 
 class _HeadTooLargeError(_RejectedRequestError):
-    def __init__(self) -> None:
-        super().__init__(431, "head-too-large", f"the head exceeds {MAX_REQUEST_HEAD_BYTES} bytes")
+    def __init__(self, limit: int) -> None:
+        super().__init__(431, "head-too-large", f"the head exceeds {limit} bytes")
+
+
+class _BodyTooLargeError(_RejectedRequestError):
+    def __init__(self, limit: int) -> None:
+        super().__init__(413, "body-too-large", f"the body exceeds {limit} bytes")
 
 
 class _UpgradeError(_RejectedRequestError):
@@ -80,10 +88,16 @@
         "_chunked",
         "_connection",
         "_expects_continue",
+        "_held",
+        "_held_size",
         "_left",
         "_start",
+        "_turn",
         "body_arrived",
+        "body_size",
         "complete",
+        "failed",
+        "first",
         "gone",
         "headers",
         "keep_alive",
@@ -91,6 +105,7 @@
         "path",
         "started",
         "target",
+        "task",
     )
 
     def __init__(
@@ -114,6 +129,15 @@
         self.started = False
         self.complete = False
         self.gone = False
+        # The response has broken off and the connection must close in its turn.
+        self.failed = False
+        # Every earlier request on the connection has been answered.
+        self.first = False
+        self.body_size = 0
+        self.task: asyncio.Task[None] | None = None
+        self._held: list[bytes] = []
+        self._held_size = 0
+        self._turn: asyncio.Future[None] | None = None
         self._connection = connection
         self._expects_continue = expects_continue
         self._start: tuple[int, list[tuple[bytes, bytes]]] | None = None
@@ -161,7 +185,7 @@
                 return b""
             if self._expects_continue:
                 self._expects_continue = False
-                self._connection.write(_CONTINUE)
+                self._send(_CONTINUE)
             self._waiter = self._connection.loop.create_future()
             await self._waiter
         return self.take()
@@ -173,7 +197,7 @@
         if self.gone:
             return
         head = self._build_head(status, headers, len(body))
-        self._connection.write(head + self._frame(body, more=False))
+        self._send(head + self._frame(body, more=False))
         self._complete()
 
     def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -184,7 +208,9 @@
         """Send a part of the body at the speed of the caller."""
         if self.gone:
             return
-        self._connection.write(self._take_head() + self._frame(part, more=True))
+        self._send(self._take_head() + self._frame(part, more=True))
+        if not self.first and self._held_size > HELD_HIGH_WATER_BYTES:
+            await self.wait_turn()
         await self._connection.drain()
 
     def finish(self) -> None:
@@ -193,9 +219,46 @@
             return
         data = self._take_head() + self._frame(b"", more=False)
         if data:
-            self._connection.write(data)
+            self._send(data)
         self._complete()
 
+    # Order of responses
+
+    async def wait_turn(self) -> None:
+        """Wait until every earlier request on the connection has been answered.
+
+        A caller sends a request again when an earlier response closes the connection, so a request
+        that must not run twice can't be started before.
+        """
+        while not self.first:
+            if self.gone:
+                raise AbortResponseError("the caller left")
+            if self._turn is None:
+                self._turn = self._connection.loop.create_future()
+            await asyncio.shield(self._turn)
+
+    def give_turn(self) -> bytes:
+        """Let this response be sent, and return what has been held of it."""
+        self.first = True
+        held = b"".join(self._held)
+        self._held.clear()
+        self._held_size = 0
+        self.wake_turn()
+        return held
+
+    def wake_turn(self) -> None:
+        """Wake who waits for the turn."""
+        turn, self._turn = self._turn, None
+        if turn is not None and not turn.done():
+            turn.set_result(None)
+
+    def _send(self, data: bytes) -> None:
+        if self.first:
+            self._connection.write(data)
+        else:
+            self._held.append(data)
+            self._held_size += len(data)
+
     def _take_head(self) -> bytes:
         start, self._start = self._start, None
         return self._build_head(*start, None) if start is not None else b""
@@ -209,6 +272,8 @@
             self._expects_continue = False
             self.keep_alive = False
         self.started = True
+        if self._connection.must_close_after(self):
+            self.keep_alive = False
         parts = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
         has_length = False
         for name, value in headers:
@@ -256,20 +321,20 @@
     """Carry the requests of one caller; a caller that leaves cancels the task of its call."""
 
     __slots__ = (
-        "_active",
         "_ended",
         "_expects_continue",
         "_head_bytes",
         "_headers",
         "_in_head",
         "_listener",
+        "_order",
         "_parser",
         "_parsing",
         "_queue",
         "_reading_paused",
         "_target",
-        "_task",
         "_timer",
+        "_timer_at",
         "_transport",
         "_until",
         "_writable",
@@ -281,11 +346,11 @@
         self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport = None  # type: ignore[assignment]
-        # The request that is being answered, and the one whose body is arriving.
-        self._active: ServerRequest | None = None
+        # The requests that are being served in the order of their responses, the one whose body is
+        # arriving, and those that have not been started.
+        self._order: deque[ServerRequest] = deque()
         self._parsing: ServerRequest | None = None
         self._queue: deque[ServerRequest] = deque()
-        self._task: asyncio.Task[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._reading_paused = False
         # The caller has announced that no request follows; what does follow is not read.
@@ -296,6 +361,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._expects_continue = False
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
         self._until: float | None = None
 
     # Transport callbacks
@@ -325,8 +391,7 @@
 
     def resume_writing(self) -> None:
         self._wake_writer()
-        if self._active is None:
-            self._start_next()
+        self._start_next()
 
     def _wake_writer(self) -> None:
         writable, self._writable = self._writable, None
@@ -350,6 +415,8 @@
         else:
             if self._parsing is not None:
                 self._parsing.wake()
+            if self._in_head and not was_in_head and not self._order:
+                self._wait_until(time.monotonic() + self._listener.limits.head_s)
             self.update_reading()
 
     def eof_received(self) -> None:
@@ -365,7 +432,7 @@
         self._expects_continue = False
         if self._until is not None:
             # A request that begins just before the limit has the whole time again for its head.
-            self._until = time.monotonic() + KEEP_ALIVE_S
+            self._until = time.monotonic() + self._listener.limits.head_s
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -382,8 +449,9 @@
 
     def _count_head_bytes(self, count: int) -> None:
         self._head_bytes += count
-        if self._head_bytes > MAX_REQUEST_HEAD_BYTES:
-            raise _HeadTooLargeError
+        limit = self._listener.limits.head_bytes
+        if self._head_bytes > limit:
+            raise _HeadTooLargeError(limit)
 
     def on_headers_complete(self) -> None:
         self._in_head = False
@@ -394,6 +462,7 @@
             raise _RejectedRequestError(400, "malformed-request", "only HTTP/1.1 is supported")
         if self._target[:1] != b"/":
             raise _RejectedRequestError(400, "malformed-request", "the target must be a path")
+        self._check_length()
         self._parsing = request = ServerRequest(
             self,
             method=parser.get_method().decode("ascii"),
@@ -402,14 +471,32 @@
             keep_alive=parser.should_keep_alive(),
             expects_continue=self._expects_continue,
         )
-        if self._active is None and self._writable is None and not self._queue:
+        if self._may_start() and not self._queue:
             self._start(request)
         else:
             self._queue.append(request)
 
+    def _may_start(self) -> bool:
+        return self._writable is None and len(self._order) < self._listener.pipeline_limit
+
+    def _check_length(self) -> None:
+        """Refuse a body whose announced length is over the limit."""
+        limit = self._listener.limits.body_bytes
+        if limit is None:
+            return
+        for name, value in self._headers:
+            if name == b"content-length" and value.isdigit() and int(value) > limit:
+                raise _BodyTooLargeError(limit)
+
     def on_body(self, body: bytes) -> None:
-        if self._parsing is not None:
-            self._parsing.add(body)
+        request = self._parsing
+        if request is None:
+            return
+        request.body_size += len(body)
+        limit = self._listener.limits.body_bytes
+        if limit is not None and request.body_size > limit:
+            raise _BodyTooLargeError(limit)
+        request.add(body)
 
     def on_message_complete(self) -> None:
         request, self._parsing = self._parsing, None
@@ -421,9 +508,10 @@
     # Requests
 
     def _start(self, request: ServerRequest) -> None:
-        self._active = request
+        self._order.append(request)
+        request.first = len(self._order) == 1
         self._until = None
-        self._task = self.loop.create_task(self._run(request))
+        request.task = self.loop.create_task(self._run(request))
 
     async def _run(self, request: ServerRequest) -> None:
         """Run the handler for one request; a broken response closes the connection."""
@@ -433,45 +521,66 @@
             pass
         except Exception as error:
             _log.error("call-crashed", error=repr(error))
-        if not request.complete:
+        if request.complete or request.gone:
+            return
+        if request.first:
             self._transport.abort()
+        else:
+            request.failed = True
+
+    def must_close_after(self, request: ServerRequest) -> bool:
+        """Tell whether the connection closes after this response, since the listener stops."""
+        if not self._listener.stopping or self._queue:
+            return False
+        return bool(self._order) and self._order[-1] is request
 
     def end_response(self, request: ServerRequest) -> None:
-        """Start the next pipelined request, or wait for one as long as keep-alive allows."""
-        self._active = None
-        if not request.keep_alive:
-            self._queue.clear()
-            self._close()
-            return
-        if self._writable is None:
-            self._start_next()
+        """Send the responses whose turn has come, then start or await the next requests."""
+        order = self._order
+        while order and order[0].complete and order[0].first:
+            done = order.popleft()
+            if not done.keep_alive:
+                # The caller takes what it sent behind this response for not read.
+                self._drop_requests()
+                self._close()
+                return
+            if order:
+                held = order[0].give_turn()
+                if held:
+                    self._transport.write(held)
+                if order[0].failed:
+                    self._drop_requests()
+                    self._close()
+                    return
+        self._start_next()
 
     def _start_next(self) -> None:
-        """Start a request that waits, unless the connection closes."""
+        """Start the requests that may be, unless the connection closes."""
         if self._transport.is_closing():
             return
-        if self._queue:
+        while self._queue and self._may_start():
             self._start(self._queue.popleft())
-        elif self._until is None:
+        if not self._order and not self._queue and self._until is None:
             self._wait_request()
         if self._reading_paused:
             self.update_reading()
 
     def _drop_requests(self) -> None:
-        """Cancel the call that is being answered and forget those that wait."""
-        active, self._active = self._active, None
-        task, self._task = self._task, None
+        """Cancel the calls that are being answered and forget those that wait."""
+        dropped = list(self._order)
+        self._order.clear()
         self._queue.clear()
-        if active is not None:
-            active.gone = True
-            active.wake()
-            if task is not None:
-                task.cancel()
+        for request in dropped:
+            request.gone = True
+            request.wake()
+            request.wake_turn()
+            if request.task is not None and request.task is not asyncio.current_task(self.loop):
+                request.task.cancel()
 
     def _refuse(self, error: _RejectedRequestError) -> None:
         """Answer a request that the parser or this class has rejected, and close."""
-        active, parsing = self._active, self._parsing
-        follows = active is not None and active is not parsing
+        parsing = self._parsing
+        follows = any(request is not parsing for request in self._order)
         answered = parsing is not None and (parsing.started or parsing.complete)
         if follows or answered or self._queue:
             # The rejected bytes follow a request that is still being answered, or belong to one
@@ -501,10 +610,10 @@
 
     def stop(self) -> None:
         """Close an idle connection, and another one after the answer to its request."""
-        if self._active is None:
+        if not self._order:
             self._close()
-        else:
-            self._active.keep_alive = False
+        elif not self._order[-1].started:
+            self._order[-1].keep_alive = False
 
     def abort(self) -> None:
         """Cancel the call in flight and close the connection at once."""
@@ -541,9 +650,17 @@
     # request costs more.
 
     def _wait_request(self) -> None:
-        self._until = time.monotonic() + KEEP_ALIVE_S
-        if self._timer is None:
-            self._timer = self.loop.call_later(KEEP_ALIVE_S, self._check_idle)
+        self._wait_until(time.monotonic() + self._listener.limits.idle_s)
+
+    def _wait_until(self, until: float) -> None:
+        """Let the connection go without a request, or with part of a head, until a moment."""
+        self._until = until
+        if self._timer is not None:
+            if self._timer_at <= until:
+                return
+            self._timer.cancel()
+        self._timer_at = until
+        self._timer = self.loop.call_later(until - time.monotonic(), self._check_idle)
 
     def _check_idle(self) -> None:
         self._timer = None
@@ -551,6 +668,7 @@
             return
         left_s = self._until - time.monotonic()
         if left_s > 0:
+            self._timer_at = self._until
             self._timer = self.loop.call_later(left_s, self._check_idle)
         elif self._transport.is_closing():
             self._transport.abort()
@@ -583,7 +701,11 @@
 
 
 class Listener:
-    """Accept connections on one port and answer their requests with a handler."""
+    """Accept connections on one port and answer their requests with a handler.
+
+    `pipeline_limit` is how many requests of one connection are served at once; `limits` may be
+    replaced at any time.
+    """
 
     def __init__(
         self,
@@ -594,8 +716,13 @@
         ssl_context: ssl.SSLContext | None = None,
         check_client: CheckClient | None = None,
         on_rejected: Callable[[str], None] | None = None,
+        pipeline_limit: int = 1,
     ) -> None:
         self.handler = handler
+        self.pipeline_limit = pipeline_limit
+        self.limits = DEFAULT_LIMITS
+        # Every response closes its connection if no other request of it is being served.
+        self.stopping = False
         self.check_client = check_client
         self.on_rejected = on_rejected
         self.connections: set[ServerConnection] = set()
--- a/src/ibiswick/_internal/configuration/snapshots.py
+++ b/src/ibiswick/_internal/configuration/snapshots.py
@@ -96,9 +96,10 @@
 def check_references(snapshot: Snapshot) -> None:
     """Raise DanglingReferenceError when a route's service is not in the snapshot."""
     for route in snapshot.routes:
-        if route["service"] not in snapshot.services:
+        services = {part["service"] for part in route.get("split", ())} | {route["service"]}
+        for name in sorted(services - snapshot.services.keys()):
             raise DanglingReferenceError(
-                f"route {route['id']} refers to service {route['service']}, which does not exist"
+                f"route {route['id']} refers to service {name}, which does not exist"
             )
 
 
--- /dev/null
+++ b/src/ibiswick/_internal/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Run nodes that read the object API themselves, without zone roots."""
--- /dev/null
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -0,0 +1,93 @@
+"""Follow the objects under one prefix of the object API."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from ..shared.errors import HistoryLostError, PlatformError, PlatformUnavailableError
+from ..shared.logs import EventLog
+from ..shared.objectapi import Listing, Platform
+
+WATCH_S = 20.0
+# Nodes that lost the platform together come back within this time, spread over it.
+RETRY_MIN_S = 0.4
+RETRY_MAX_S = 1.0
+# Nodes whose history is gone list anew within this time, spread over it.
+LIST_SPREAD_S = 0.3
+
+_log = EventLog(component="follower")
+
+
+class Follower:
+    """List the objects under a prefix, then watch them for ever.
+
+    `apply` gets each listing, and whether it is complete or holds only changes. A read that fails
+    changes nothing: what has been applied stays until a newer listing replaces it. Changes are
+    collected for `gather_s` seconds before the next watch.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        prefix: str,
+        apply: Callable[[Listing, bool], None],
+        rng: random.Random,
+        gather_s: float,
+    ) -> None:
+        self._platform = platform
+        self._prefix = prefix
+        self._apply = apply
+        self._rng = rng
+        self._gather_s = gather_s
+        self._revision: int | None = None
+        self.connected = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError as error:
+                _log.warn(
+                    "history-lost", prefix=self._prefix, revision=self._revision, detail=error
+                )
+                self._revision = None
+                await asyncio.sleep(self._rng.uniform(0.0, LIST_SPREAD_S))
+            except PlatformError as error:
+                self._note_lost(error)
+                await asyncio.sleep(self._find_delay(error))
+
+    async def _step(self) -> None:
+        """List once, or wait for the next changes."""
+        if self._revision is None:
+            listing = await self._platform.list(self._prefix)
+            self._note_regained(listing)
+            self._apply(listing, True)
+        else:
+            listing = await self._platform.watch(
+                self._prefix, after=self._revision, timeout_s=WATCH_S
+            )
+            self._note_regained(listing)
+            if listing.objects:
+                self._apply(listing, False)
+                await asyncio.sleep(self._gather_s)
+        self._revision = listing.revision
+
+    def _find_delay(self, error: PlatformError) -> float:
+        delay_s = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        if isinstance(error, PlatformUnavailableError):
+            return min(max(delay_s, error.retry_after_s), RETRY_MAX_S)
+        return delay_s
+
+    def _note_lost(self, error: PlatformError) -> None:
+        if self.connected:
+            _log.warn("platform-lost", prefix=self._prefix, code=error.code, detail=error)
+        self.connected = False
+
+    def _note_regained(self, listing: Listing) -> None:
+        if not self.connected:
+            _log.info("platform-regained", prefix=self._prefix, revision=listing.revision)
+        self.connected = True
--- /dev/null
+++ b/src/ibiswick/_internal/direct/instances.py
@@ -0,0 +1,98 @@
+"""Decide which backend server is beside this node from what backend servers say of themselves."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..shared.records import LocalInstance
+
+# Departed incarnations that are remembered; one VM has far fewer in the life of a process.
+MAX_DEPARTED = 64
+
+
+class Heartbeat(NamedTuple):
+    """Say what a backend server is and whether it takes calls.
+
+    `born` is its start in milliseconds since 1970; `sequence` grows with each heartbeat of one
+    start. `cold_s` is how much longer the backend server works slowly after its start.
+    """
+
+    instance: str
+    service: str
+    availability_zone: str
+    slots: int
+    leaving: bool
+    cold_s: float
+    born: int
+    sequence: int
+
+
+class Departure(NamedTuple):
+    """Say that a backend server takes no calls any more; `born` is None if it did not tell."""
+
+    instance: str
+    born: int | None
+
+
+class Verdict(StrEnum):
+    """What became of an announcement."""
+
+    NEW = "new"
+    CHANGED = "changed"
+    UNCHANGED = "unchanged"
+    LATE = "late"
+    DEPARTED = "departed"
+
+
+class InstanceTable:
+    """Keep the newest incarnation of the local backend server.
+
+    Announcements may arrive late or twice: a later start wins, then a higher sequence, and an
+    incarnation that has left stays gone.
+    """
+
+    def __init__(self) -> None:
+        self.current: LocalInstance | None = None
+        self._sequence = -1
+        self._departed: dict[tuple[str, int], None] = {}
+
+    def note_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
+        """Take over a heartbeat if it is the newest."""
+        key = (heartbeat.instance, heartbeat.born)
+        if key in self._departed:
+            return Verdict.DEPARTED
+        current = self.current
+        is_same = current is not None and (current.instance, current.born) == key
+        if current is not None and not is_same and heartbeat.born <= current.born:
+            return Verdict.LATE
+        if is_same and heartbeat.sequence <= self._sequence:
+            return Verdict.LATE
+        leaving = heartbeat.leaving or (is_same and current is not None and current.leaving)
+        self._sequence = heartbeat.sequence
+        self.current = LocalInstance(
+            heartbeat.instance, heartbeat.service, heartbeat.slots, heartbeat.born, leaving
+        )
+        if not is_same:
+            return Verdict.NEW
+        return Verdict.UNCHANGED if self.current == current else Verdict.CHANGED
+
+    def note_departure(self, departure: Departure) -> Verdict:
+        """Note that an incarnation has left for good."""
+        current = self.current
+        if departure.born is not None:
+            self._remember((departure.instance, departure.born))
+        if current is None or current.instance != departure.instance:
+            return Verdict.DEPARTED
+        if departure.born is not None and departure.born != current.born:
+            return Verdict.LATE
+        self._remember((current.instance, current.born))
+        if current.leaving:
+            return Verdict.UNCHANGED
+        self.current = current._replace(leaving=True)
+        return Verdict.CHANGED
+
+    def _remember(self, key: tuple[str, int]) -> None:
+        self._departed[key] = None
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
--- /dev/null
+++ b/src/ibiswick/_internal/direct/members.py
@@ -0,0 +1,106 @@
+"""Keep what every node says of itself and of the backend server beside it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ..shared.records import Endpoint
+
+
+class NodeRecord(NamedTuple):
+    """Describe one node and its backend server as the node announces them.
+
+    `incarnation` grows with each start of the node's process, `sequence` with each change within
+    one. `instance` is empty and `slots` zero before a backend server has announced itself. A record
+    that is not `accepting` offers no slots.
+    """
+
+    vm: str
+    availability_zone: str
+    host: str
+    peer_port: int
+    exchange_port: int
+    service: str
+    instance: str
+    born: int
+    slots: int
+    accepting: bool
+    incarnation: int
+    sequence: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what tells an older record of the same node from a newer one."""
+        return (self.incarnation, self.sequence)
+
+
+def parse_record(value: Any) -> NodeRecord | None:
+    """Read a record from an untrusted value; None when it is malformed.
+
+    >>> parse_record({"vm": "a"}) is None
+    True
+    """
+    if not isinstance(value, dict):
+        return None
+    try:
+        return msgspec.convert([value.get(name) for name in NodeRecord._fields], NodeRecord)
+    except msgspec.ValidationError:
+        return None
+
+
+class MemberTable:
+    """Merge records by incarnation and sequence, whatever way they come.
+
+    A record that has been removed may come back within `retention_s` from a node that has not heard
+    of it, so its order is remembered that long.
+    """
+
+    def __init__(self, *, retention_s: float) -> None:
+        self.records: dict[str, NodeRecord] = {}
+        self._retention_s = retention_s
+        self._removed: dict[str, tuple[tuple[int, int], float]] = {}
+
+    def merge(self, records: Iterable[NodeRecord], *, now: float) -> bool:
+        """Take over the newer records; return whether anything changed."""
+        changed = False
+        for record in records:
+            known = self.records.get(record.vm)
+            if known is not None and record.order <= known.order:
+                continue
+            removed = self._removed.get(record.vm)
+            if removed is not None:
+                if record.order <= removed[0] and now < removed[1]:
+                    continue
+                del self._removed[record.vm]
+            self.records[record.vm] = record
+            changed = True
+        return changed
+
+    def remove(self, vm: str, *, now: float) -> bool:
+        """Forget a node; return whether it was known."""
+        record = self.records.pop(vm, None)
+        if record is None:
+            return False
+        self._removed[vm] = (record.order, now + self._retention_s)
+        return True
+
+    def list_endpoints(self) -> dict[str, tuple[Endpoint, ...]]:
+        """Return the endpoints that take calls, by service."""
+        found: dict[str, list[Endpoint]] = {}
+        for record in sorted(self.records.values()):
+            if not record.accepting or not record.instance:
+                continue
+            endpoint = Endpoint(
+                record.vm,
+                record.born,
+                record.availability_zone,
+                record.host,
+                record.peer_port,
+                record.slots,
+                True,
+            )
+            found.setdefault(record.service, []).append(endpoint)
+        return {service: tuple(endpoints) for service, endpoints in found.items()}
--- /dev/null
+++ b/src/ibiswick/_internal/direct/node.py
@@ -0,0 +1,285 @@
+"""Run one node that reads the object API itself."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from ..calls.callcounts import CallCounts
+from ..calls.heads import WireNames
+from ..calls.inbound import AdmissionPolicy, Inbound
+from ..calls.outbound import CallPolicy, Outbound
+from ..calls.pool import Pool, Remote
+from ..calls.retries import Budget, RetryWindow
+from ..calls.serving import Listener, ServerRequest
+from ..shared.blackboard import Blackboard
+from ..shared.errors import InvalidInputError
+from ..shared.logs import EventLog
+from ..shared.objectapi import Platform
+from ..shared.records import BackendHealth, Phase
+from .instances import Departure, Heartbeat, InstanceTable, Verdict
+from .plane import ConfigurationDecoder, DirectPlane
+from .settings import DirectSettings
+from .supervision import supervise
+
+# Requests of one connection that are served at once; more wait unread.
+PIPELINE_LIMIT = 16
+# Nodes that are asked for a slot without waiting before a call waits for one.
+POLLS = 3
+# Responses up to this size are held until they are complete, so that a failure can be told.
+BUFFER_BYTES = 8 * 1024 * 1024
+# A backend server's own failures of idempotent calls that another one may answer better.
+RETRY_STATUSES = frozenset((500, 502, 503))
+# Share of the fleet's retry ratio that nodes use; calls made by repeated calls use the rest.
+RETRY_SHARE = 0.5
+# Targets and deadlines limit the wait for a slot; this only bounds the memory.
+QUEUE_LENGTH_PER_SLOT = 8
+UPLOAD_IDLE_S = 10.0
+PEER_IDLE_LIMIT_S = 20.0
+BACKEND_IDLE_LIMIT_S = 8.0
+# Several round trips; a path that is silent for longer has failed.
+UNACKNOWLEDGED_S = 0.6
+# Callers learn from two failed readiness checks, a second apart, that the node stops.
+LINGER_S = 2.6
+# Left of the time to stop for closing connections.
+STOP_MARGIN_S = 0.6
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+
+_log = EventLog(component="node")
+
+
+class Answer(NamedTuple):
+    """Answer an announcement of a backend server."""
+
+    status: int
+    body: bytes
+
+
+class AnnouncementDecoder(Protocol):
+    """Read what backend servers send to the registry port."""
+
+    def __call__(self, method: str, path: str, body: bytes) -> Heartbeat | Departure | None:
+        """Return None for an unknown call; raise InvalidInputError for a malformed one."""
+
+
+class NullWatcher:
+    """Ignore connects: backend servers announce themselves."""
+
+    def note_connect_failure(self, detail: str) -> None:
+        """Do nothing."""
+
+    def note_connect_success(self) -> None:
+        """Do nothing."""
+
+
+class DirectNode:
+    """Hold the listeners and controllers of one node."""
+
+    def __init__(
+        self,
+        *,
+        settings: DirectSettings,
+        platform: Platform,
+        names: WireNames,
+        configuration_key: str,
+        decode_configuration: ConfigurationDecoder,
+        decode_announcement: AnnouncementDecoder,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.settings = settings
+        self.board = board = Blackboard()
+        board.backend.set(BackendHealth(True, "announced"))
+        self._clock = clock
+        self._decode_announcement = decode_announcement
+        self._instances = InstanceTable()
+        self.counts = CallCounts()
+        self._peers = Pool(idle_limit_s=PEER_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
+        self._backend = Pool(idle_limit_s=BACKEND_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
+        self.plane = DirectPlane(
+            settings=settings,
+            board=board,
+            platform=platform,
+            pool=self._peers,
+            configuration_key=configuration_key,
+            decode=decode_configuration,
+            rng=rng,
+            clock=clock,
+        )
+        self._outbound = Outbound(
+            workspace="",
+            availability_zone=settings.availability_zone,
+            board=board,
+            exchange=self._peers.exchange,
+            counts=self.counts,
+            upload_idle_s=UPLOAD_IDLE_S,
+            rng=rng,
+            clock=clock,
+            policy=CallPolicy(
+                names=names,
+                build_budget=self._build_budget,
+                retry_statuses=RETRY_STATUSES,
+                polls=POLLS,
+                buffer_bytes=BUFFER_BYTES,
+                serves_draining=True,
+                fractions=True,
+            ),
+            origin=settings.service,
+        )
+        self._inbound = Inbound(
+            workspace="",
+            service=settings.service,
+            slots=0,
+            backend_server=Remote(settings.backend_server.host, settings.backend_server.port),
+            board=board,
+            exchange=self._backend.exchange,
+            counts=self.counts,
+            watcher=NullWatcher(),
+            upload_idle_s=UPLOAD_IDLE_S,
+            clock=clock,
+            policy=AdmissionPolicy(
+                names=names,
+                needs_instance=True,
+                queue_s=None,
+                length_per_slot=QUEUE_LENGTH_PER_SLOT,
+                buffer_bytes=BUFFER_BYTES,
+            ),
+        )
+        self._caller = Listener(
+            handler=self._outbound,
+            host=settings.caller.host,
+            port=settings.caller.port,
+            pipeline_limit=PIPELINE_LIMIT,
+        )
+        self._peer = Listener(
+            handler=self._inbound, host=settings.peer.host, port=settings.peer.port
+        )
+        self._readiness = Listener(
+            handler=self._serve_readiness,
+            host=settings.readiness.host,
+            port=settings.readiness.port,
+        )
+        self._registry = Listener(
+            handler=self._serve_registry, host=settings.registry.host, port=settings.registry.port
+        )
+        self._exchange = Listener(
+            handler=self.plane.serve_exchange,
+            host=settings.exchange.host,
+            port=settings.exchange.port,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _build_budget(self, now: float) -> Budget:
+        return RetryWindow(
+            ratio=self.settings.retry_ratio * RETRY_SHARE,
+            window_s=self.settings.retry_window_s,
+            slack=self._share_slack,
+        )
+
+    def _share_slack(self) -> float:
+        return self.settings.retry_slack * RETRY_SHARE / self.board.fleet_size.value
+
+    # Life
+
+    async def run(self) -> None:
+        """Serve until the node has been told to drain and has done so; raise OSError."""
+        listeners = (self._registry, self._readiness, self._peer, self._exchange, self._caller)
+        for listener in listeners:
+            await listener.start()
+        await self.plane.start()
+        self._tasks = [asyncio.create_task(supervise("limits", self._follow_configuration))]
+        _log.info("node-started", vm=self.settings.vm, service=self.settings.service)
+        await self._drain()
+        for task in self._tasks:
+            task.cancel()
+        await self.plane.stop()
+        await asyncio.gather(*(listener.stop() for listener in listeners))
+        self._peers.close()
+        self._backend.close()
+        _log.info("node-stopped", vm=self.settings.vm)
+
+    async def _follow_configuration(self) -> None:
+        """Serve once there is a configuration, and bound what callers may send by it."""
+        cell = self.board.snapshot
+        while True:
+            version = cell.version
+            snapshot = cell.value
+            if snapshot is not None:
+                self._caller.limits = self.board.caller_limits.value
+                if self.board.phase.value is Phase.STARTING:
+                    self._set_phase(Phase.SERVING)
+            await cell.wait_change(version)
+
+    def _set_phase(self, phase: Phase) -> None:
+        self.board.phase.set(phase)
+        _log.info("phase-changed", phase=phase.value, in_flight=self.board.in_flight.value)
+
+    async def _drain(self) -> None:
+        """Wait for the signal to stop, then for callers to leave and calls to end."""
+        drain = self.board.drain
+        while not drain.value:
+            await drain.wait_change(drain.version)
+        started = self._clock()
+        self._set_phase(Phase.DRAINING)
+        self._caller.stopping = True
+        in_flight = self.board.in_flight
+        until = started + self.settings.stop_grace_s - STOP_MARGIN_S
+        while (now := self._clock()) < until:
+            if in_flight.value == 0 and now - started >= LINGER_S:
+                break
+            await asyncio.sleep(0.05)
+        self._set_phase(Phase.STOPPED)
+
+    # Readiness
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers may send calls here."""
+        return self.board.phase.value is Phase.SERVING and bool(self.board.endpoints.value)
+
+    async def _serve_readiness(self, request: ServerRequest) -> None:
+        request.respond(200 if self.ready else 503, [], b"")
+
+    # Registry
+
+    async def _serve_registry(self, request: ServerRequest) -> None:
+        body = bytearray()
+        while part := await request.read():
+            body += part
+            if len(body) > MAX_ANNOUNCEMENT_BYTES:
+                break
+        answer = self._answer_announcement(request.method, request.path, bytes(body))
+        request.respond(answer.status, [(b"content-type", b"application/json")], answer.body)
+
+    def _answer_announcement(self, method: str, path: str, body: bytes) -> Answer:
+        try:
+            announcement = self._decode_announcement(method, path, body)
+        except InvalidInputError as error:
+            _log.warn("announcement-refused", code=error.code, detail=error)
+            return Answer(400, b"{}")
+        if announcement is None:
+            return Answer(404, b"{}")
+        if isinstance(announcement, Heartbeat):
+            verdict = self._instances.note_heartbeat(announcement)
+        else:
+            verdict = self._instances.note_departure(announcement)
+        if verdict is not Verdict.UNCHANGED:
+            self._log_announcement(announcement, verdict)
+        self.board.instance.set(self._instances.current)
+        return Answer(200, b"{}")
+
+    def _log_announcement(self, announcement: Heartbeat | Departure, verdict: Verdict) -> None:
+        current = self._instances.current
+        _log.info(
+            "instance-announced",
+            kind=type(announcement).__name__,
+            instance=announcement.instance,
+            born=announcement.born,
+            verdict=verdict.value,
+            current=current.instance if current is not None else "-",
+            leaving=current.leaving if current is not None else "-",
+            slots=current.slots if current is not None else 0,
+        )
--- /dev/null
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -0,0 +1,405 @@
+"""Keep configuration and members of one node current, and announce the node."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from ..calls.pool import Limits, Pool, Remote, Request, read_whole
+from ..calls.serving import AbortResponseError, ServerRequest
+from ..shared.blackboard import Blackboard
+from ..shared.errors import (
+    ConflictError,
+    ExchangeError,
+    IbiswickError,
+    MessageError,
+    PlatformError,
+)
+from ..shared.logs import EventLog
+from ..shared.objectapi import MUST_NOT_EXIST, Listing, Platform, StoredObject
+from ..shared.records import CallerLimits, LocalInstance, Snapshot
+from .exchange import (
+    PATH,
+    ExchangeMessage,
+    compute_members_digest,
+    decode_message,
+    encode_message,
+)
+from .follower import Follower
+from .members import MemberTable, NodeRecord, parse_record
+from .settings import DirectSettings
+from .supervision import supervise
+
+MEMBERS_PREFIX = "meshnodes/"
+# Changes of the configuration within this time are read by one call; they are due in 2 s.
+CONFIGURATION_GATHER_S = 0.8
+MEMBERS_GATHER_S = 0.5
+# A node whose entry has vanished from the object API and does not come back within this time, and
+# that no other node has heard, is gone.
+MISSING_LIMIT_S = 3.0
+RETENTION_S = 30.0
+# Each node starts one exchange in this time, so a node is told by one of the others about as often.
+EXCHANGE_INTERVAL_S = 1.0
+EXCHANGE_TIMEOUT_S = 0.5
+MAX_EXCHANGE_BYTES = 4 * 1024 * 1024
+# The platform's object API takes several hundred writes a second from the whole fleet.
+ANNOUNCE_MIN_S = 0.3
+ANNOUNCE_MAX_S = 1.0
+
+_log = EventLog(component="direct")
+
+
+class Configuration(NamedTuple):
+    """Hold a configuration as an operator has written it, decoded."""
+
+    snapshot: Snapshot
+    limits: CallerLimits
+
+
+class ConfigurationDecoder(Protocol):
+    """Decode the value that an operator has written."""
+
+    def __call__(self, value: Any) -> Configuration:
+        """Raise IbiswickError when the value is not a valid configuration."""
+
+
+class DirectPlane:
+    """Write the cells of the blackboard from the object API and from other nodes."""
+
+    def __init__(
+        self,
+        *,
+        settings: DirectSettings,
+        board: Blackboard,
+        platform: Platform,
+        pool: Pool,
+        configuration_key: str,
+        decode: ConfigurationDecoder,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._settings = settings
+        self._board = board
+        self._platform = platform
+        self._pool = pool
+        self._key = configuration_key
+        self._decode = decode
+        self._rng = rng or random.Random()
+        self._clock = clock
+        self._table = MemberTable(retention_s=RETENTION_S)
+        self._configuration: Any = None
+        self._stored: dict[str, StoredObject] = {}
+        self._missing: dict[str, float] = {}
+        self._heard: dict[str, float] = {}
+        self._changed = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._incarnation = int(wall_clock() * 1000)
+        self._sequence = 0
+        self._own = self._build_own(None)
+        self._table.merge([self._own], now=clock())
+        prefix = configuration_key.rpartition("/")[0] + "/"
+        self._configuration_follower = Follower(
+            platform=platform,
+            prefix=prefix,
+            apply=self._apply_configuration,
+            rng=self._rng,
+            gather_s=CONFIGURATION_GATHER_S,
+        )
+        self._members_follower = Follower(
+            platform=platform,
+            prefix=MEMBERS_PREFIX,
+            apply=self._apply_members,
+            rng=self._rng,
+            gather_s=MEMBERS_GATHER_S,
+        )
+
+    async def start(self) -> None:
+        """Start the controllers."""
+        self._tasks = [
+            asyncio.create_task(supervise(name, run))
+            for name, run in (
+                ("configuration", self._configuration_follower.run),
+                ("members", self._members_follower.run),
+                ("instance", self._follow_instance),
+                ("drain", self._follow_drain),
+                ("announce", self._announce),
+                ("exchange", self._exchange_forever),
+            )
+        ]
+
+    async def stop(self) -> None:
+        """Stop the controllers and remove the entry of a node whose backend server is gone."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # Configuration
+
+    def _apply_configuration(self, listing: Listing, complete: bool) -> None:
+        written = [item.value for item in listing.objects if item.key == self._key]
+        if written and written[-1] is not None:
+            self.offer_configuration(written[-1], source="platform")
+
+    def offer_configuration(self, value: Any, *, source: str) -> None:
+        """Apply a configuration if it is valid and newer than the one in effect."""
+        try:
+            snapshot, limits = self._decode(value)
+        except IbiswickError as error:
+            _log.warn("configuration-refused", source=source, code=error.code, detail=error)
+            return
+        current = self._board.snapshot.value
+        if current is not None and snapshot.generation <= current.generation:
+            return
+        self._configuration = value
+        self._board.caller_limits.set(limits)
+        self._board.snapshot.set(snapshot)
+        self._board.floor_confirmed.set(True)
+        _log.info(
+            "configuration-applied",
+            generation=snapshot.generation,
+            before=current.generation if current is not None else 0,
+            source=source,
+            routes=len(snapshot.routes),
+        )
+
+    # Members
+
+    def _apply_members(self, listing: Listing, complete: bool) -> None:
+        now = self._clock()
+        found = {item.key: item for item in listing.objects}
+        if complete:
+            vanished = self._stored.keys() - found.keys()
+            self._stored = {}
+        else:
+            vanished = {key for key, item in found.items() if item.value is None}
+        for key in vanished:
+            self._stored.pop(key, None)
+            self._missing.setdefault(key.removeprefix(MEMBERS_PREFIX), now + MISSING_LIMIT_S)
+        records = []
+        for key, item in found.items():
+            if item.value is None:
+                continue
+            self._stored[key] = item
+            record = parse_record(item.value)
+            if record is None or MEMBERS_PREFIX + record.vm != key:
+                _log.warn("member-refused", key=key, revision=item.version)
+                continue
+            self._missing.pop(record.vm, None)
+            records.append(record)
+        self._merge(records, source="platform")
+        self._changed.set()
+
+    def _merge(self, records: list[NodeRecord], *, source: str) -> None:
+        own = next((record for record in records if record.vm == self._own.vm), None)
+        if own is not None and own.order > self._own.order:
+            # An earlier process of this node had a later clock.
+            self._incarnation = own.incarnation + 1
+            self._publish_own()
+        before = dict(self._table.records)
+        if self._table.merge(records, now=self._clock()):
+            for record in records:
+                self._log_member(before.get(record.vm), record, source)
+            self._update_endpoints()
+
+    def _log_member(self, before: NodeRecord | None, record: NodeRecord, source: str) -> None:
+        if self._table.records.get(record.vm) is not record or record == before:
+            return
+        _log.info(
+            "member-changed",
+            vm=record.vm,
+            service=record.service,
+            instance=record.instance or "-",
+            accepting=record.accepting,
+            incarnation=record.incarnation,
+            sequence=record.sequence,
+            source=source,
+        )
+
+    def _update_endpoints(self) -> None:
+        self._board.endpoints.set(self._table.list_endpoints())
+        self._board.fleet_size.set(max(1, len(self._table.records)))
+
+    def _drop_missing(self) -> None:
+        """Forget nodes whose entry has vanished and that nobody has heard since."""
+        now = self._clock()
+        for vm, due in list(self._missing.items()):
+            if vm == self._own.vm:
+                del self._missing[vm]
+            elif due <= now:
+                del self._missing[vm]
+                if self._heard.get(vm, -RETENTION_S) < due - MISSING_LIMIT_S:
+                    self._forget(vm, now)
+
+    def _forget(self, vm: str, now: float) -> None:
+        if self._table.remove(vm, now=now):
+            _log.info("member-removed", vm=vm, reason="entry-vanished")
+            self._update_endpoints()
+
+    # This node's own record
+
+    def _build_own(self, instance: LocalInstance | None) -> NodeRecord:
+        settings = self._settings
+        accepting = instance is not None and not instance.leaving and not self._board.drain.value
+        return NodeRecord(
+            settings.vm,
+            settings.availability_zone,
+            settings.peer.host,
+            settings.peer.port,
+            settings.exchange.port,
+            instance.service if instance is not None else settings.service,
+            instance.instance if instance is not None else "",
+            instance.born if instance is not None else 0,
+            instance.slots if instance is not None else 0,
+            accepting,
+            self._incarnation,
+            self._sequence,
+        )
+
+    def _publish_own(self) -> None:
+        """Give this node's record the next sequence, if it has changed."""
+        built = self._build_own(self._board.instance.value)
+        if built == self._own:
+            return
+        self._sequence += 1
+        self._own = built._replace(sequence=self._sequence)
+        self._table.merge([self._own], now=self._clock())
+        self._update_endpoints()
+        self._changed.set()
+
+    async def _follow_instance(self) -> None:
+        cell = self._board.instance
+        while True:
+            version = cell.version
+            self._publish_own()
+            await cell.wait_change(version)
+
+    async def _follow_drain(self) -> None:
+        drain = self._board.drain
+        while not drain.value:
+            await drain.wait_change(drain.version)
+        self._publish_own()
+
+    async def _announce(self) -> None:
+        """Keep this node's entry in the object API equal to its record."""
+        while True:
+            self._changed.clear()
+            if not self._differs_from_entry():
+                await self._changed.wait()
+            elif self._members_follower.connected:
+                await self._write_own()
+            else:
+                await asyncio.sleep(self._rng.uniform(ANNOUNCE_MIN_S, ANNOUNCE_MAX_S))
+
+    def _differs_from_entry(self) -> bool:
+        if not self._own.instance:
+            return False
+        stored = self._stored.get(MEMBERS_PREFIX + self._own.vm)
+        return stored is None or stored.value != self._own._asdict()
+
+    async def _write_own(self) -> None:
+        """Write the entry; a late earlier write can't replace it, since its condition fails."""
+        key = MEMBERS_PREFIX + self._own.vm
+        stored = self._stored.get(key)
+        expected = stored.version if stored is not None else MUST_NOT_EXIST
+        value = self._own._asdict()
+        try:
+            version = await self._platform.put(key, value, expected=expected)
+        except ConflictError as error:
+            _log.info("announce-conflict", expected=expected, current=error.current)
+            await self._read_own(key)
+        except PlatformError as error:
+            _log.warn("announce-failed", code=error.code, detail=error)
+            await asyncio.sleep(self._rng.uniform(ANNOUNCE_MIN_S, ANNOUNCE_MAX_S))
+        else:
+            known = self._stored.get(key)
+            if known is None or known.version < version:
+                self._stored[key] = StoredObject(key, version, value)
+
+    async def _read_own(self, key: str) -> None:
+        try:
+            found = await self._platform.get(key)
+        except PlatformError as error:
+            _log.warn("announce-read-failed", code=error.code, detail=error)
+            await asyncio.sleep(self._rng.uniform(ANNOUNCE_MIN_S, ANNOUNCE_MAX_S))
+            return
+        if found is None:
+            self._stored.pop(key, None)
+        else:
+            self._stored[key] = found
+
+    # Exchange with other nodes
+
+    async def _exchange_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.5, 1.5) * EXCHANGE_INTERVAL_S)
+            self._drop_missing()
+            peers = [vm for vm in self._table.records if vm != self._own.vm]
+            if peers:
+                await self._exchange_with(self._table.records[self._rng.choice(peers)])
+
+    async def _exchange_with(self, record: NodeRecord) -> None:
+        remote = Remote(record.host, record.exchange_port)
+        try:
+            answer = await self._send(remote, self._build_message())
+            await self._take(answer)
+            if self._is_behind(answer):
+                await self._send(remote, self._build_message(behind=answer))
+        except (ExchangeError, MessageError) as error:
+            _log.debug("exchange-failed", vm=record.vm, code=error.code, detail=error)
+            return
+        self._heard[record.vm] = self._clock()
+
+    def _build_message(self, *, behind: ExchangeMessage | None = None) -> ExchangeMessage:
+        """Build a message with what another node lacks according to its own message."""
+        records = tuple(self._table.records.values())
+        digest = compute_members_digest(records)
+        snapshot = self._board.snapshot.value
+        generation = snapshot.generation if snapshot is not None else 0
+        if behind is None:
+            return ExchangeMessage(self._own.vm, generation, digest, (self._own,))
+        return ExchangeMessage(
+            self._own.vm,
+            generation,
+            digest,
+            records if behind.digest != digest else (),
+            self._configuration if behind.generation < generation else None,
+        )
+
+    def _is_behind(self, message: ExchangeMessage) -> bool:
+        """Tell whether a node lacks something that this one has."""
+        own = self._build_message()
+        return message.generation < own.generation or message.digest != own.digest
+
+    async def _take(self, message: ExchangeMessage) -> None:
+        if message.configuration is not None:
+            self.offer_configuration(message.configuration, source=message.sender)
+        self._merge(list(message.records), source=message.sender)
+
+    async def _send(self, remote: Remote, message: ExchangeMessage) -> ExchangeMessage:
+        body = encode_message(message)
+        head = f"POST {PATH} HTTP/1.1\r\nhost: {remote.host}\r\ncontent-length: {len(body)}\r\n\r\n"
+        limits = Limits(self._clock() + EXCHANGE_TIMEOUT_S)
+        response = await self._pool.exchange(remote, Request(head.encode(), body), limits)
+        return decode_message(await read_whole(response, limit=MAX_EXCHANGE_BYTES))
+
+    async def serve_exchange(self, request: ServerRequest) -> None:
+        """Answer the message of another node."""
+        raw = bytearray()
+        while part := await request.read():
+            raw += part
+            if len(raw) > MAX_EXCHANGE_BYTES:
+                raise AbortResponseError("the message is too large")
+        try:
+            message = decode_message(bytes(raw))
+        except MessageError as error:
+            _log.warn("exchange-refused", code=error.code, detail=error)
+            request.respond(400, [], b"")
+            return
+        await self._take(message)
+        self._heard[message.sender] = self._clock()
+        answer = self._build_message(behind=message)
+        request.respond(200, [(b"content-type", b"application/cbor")], encode_message(answer))
--- /dev/null
+++ b/src/ibiswick/_internal/platform/configuration.py
@@ -0,0 +1,117 @@
+"""Decode the configuration that an operator writes to the platform's store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..configuration.snapshots import build_snapshot, check_references
+from ..direct.plane import Configuration
+from ..shared.records import CallerLimits, Route, ServicePolicy, SplitPart
+from .fields import FieldReader
+
+# The object that holds the configuration in effect, as kind and name.
+CONFIGURATION_KEY = "config/main"
+# Backend servers work slowly for some seconds after their start.
+SLOW_START_MS = 3000
+# Connections of one node to another; the slots of the other node bound the calls.
+PEER_CONNECTIONS = 256
+# The number of slots comes from the backend servers themselves.
+MAX_SLOTS = 1000
+# What may be repeated depends on the kind. An upload is a large body that may not be.
+IDEMPOTENT_KIND = "idempotent"
+UPLOAD_KIND = "upload"
+KINDS = (IDEMPOTENT_KIND, "non_idempotent", UPLOAD_KIND)
+
+
+def decode_configuration(value: Any) -> Configuration:
+    """Decode a configuration; raise InvalidInputError or SnapshotError if it is not valid."""
+    reader = FieldReader(CONFIGURATION_KEY)
+    generation = _read_version(reader, value)
+    limits = _read_limits(reader, reader.read_table(value, "limits"))
+    services = {}
+    for cluster in reader.read_list(value, "clusters"):
+        services[reader.read_text(cluster, "clusters.name")] = _build_policy()
+    routes: list[Route] = []
+    for listener in reader.read_list(value, "listeners"):
+        host = reader.read_text(listener, "listeners.host")
+        for rule in reader.read_list(listener, "listeners.rules"):
+            routes.append(_read_route(reader, rule, host))
+    reader.finish()
+    snapshot = build_snapshot(workspace="", generation=generation, services=services, routes=routes)
+    check_references(snapshot)
+    return Configuration(snapshot, limits)
+
+
+def _read_version(reader: FieldReader, value: Any) -> int:
+    """Read a version, which is written as eight hexadecimal digits."""
+    text = reader.read_text(value, "version")
+    try:
+        return int(text, 16)
+    except ValueError:
+        reader.note("version", "hexadecimal digits", text)
+        return 0
+
+
+def _read_limits(reader: FieldReader, table: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        head_bytes=reader.read_integer(table, "limits.max_header_bytes", least=1),
+        body_bytes=reader.read_integer(table, "limits.max_body_bytes", least=1),
+        head_s=reader.read_seconds(table, "limits.header_timeout"),
+        idle_s=reader.read_seconds(table, "limits.idle_timeout"),
+    )
+
+
+def _build_policy() -> ServicePolicy:
+    return ServicePolicy(
+        preference="local-first",
+        slots=MAX_SLOTS,
+        connections=PEER_CONNECTIONS,
+        queue_ms=0,
+        slow_start_ms=SLOW_START_MS,
+    )
+
+
+def _read_route(reader: FieldReader, rule: Any, host: str) -> Route:
+    action = reader.read_table(rule, "rules.action")
+    kind = reader.read_text(rule, "rules.kind")
+    if kind not in KINDS:
+        reader.note("rules.kind", f"one of {', '.join(KINDS)}", kind)
+    prefix = reader.read_text(reader.read_table(rule, "rules.match"), "match.prefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        reader.note("match.prefix", "a path that begins and ends with a slash", prefix)
+    split = _read_split(reader, action) if "traffic_split" in action else None
+    service = split[0]["service"] if split else reader.read_text(action, "action.service")
+    route = Route(
+        id=reader.read_text(rule, "rules.name"),
+        host=host,
+        prefix=prefix,
+        methods=[],
+        service=service,
+        idempotent=kind == IDEMPOTENT_KIND,
+        kind="call",
+        deadline_ms=int(reader.read_seconds(action, "action.timeout") * 1000),
+        # The platform counts all attempts, ibiswick those after the first.
+        retries=reader.read_integer(action, "action.attempts", 1, least=1) - 1,
+        hedge_ms=None,
+        priority=reader.read_integer(rule, "rules.priority", 0),
+        prefers_local=kind == UPLOAD_KIND,
+    )
+    if split:
+        route["split"] = split
+    if "target_latency" in rule:
+        route["target_ms"] = int(reader.read_seconds(rule, "rules.target_latency") * 1000)
+    return route
+
+
+def _read_split(reader: FieldReader, action: dict[str, Any]) -> list[SplitPart]:
+    parts = [
+        SplitPart(
+            service=reader.read_text(part, "traffic_split.service"),
+            weight=reader.read_integer(part, "traffic_split.weight"),
+        )
+        for part in reader.read_list(action, "action.traffic_split")
+    ]
+    if sum(part["weight"] for part in parts) <= 0:
+        reader.note("action.traffic_split", "parts with a weight", parts)
+        return [SplitPart(service="", weight=1)]
+    return parts
--- /dev/null
+++ b/src/ibiswick/_internal/platform/headers.py
@@ -0,0 +1,13 @@
+"""Name the platform's headers."""
+
+from __future__ import annotations
+
+from ..calls.heads import WireNames
+
+NAMES = WireNames(
+    attempt=b"ibiswick-attempt-id",
+    caller_service=b"ibiswick-caller-service",
+    expected_instance=b"ibiswick-expected-instance",
+    signature=b"ibiswick-response-signature",
+    not_run=b"ibiswick-not-executed",
+)
--- /dev/null
+++ b/src/ibiswick/_internal/platform/program.py
@@ -0,0 +1,82 @@
+"""Start a node on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+
+from ..calls.pool import Pool, PoolFetch
+from ..direct.node import UNACKNOWLEDGED_S, DirectNode
+from ..direct.settings import DirectSettings
+from ..shared.errors import IbiswickError
+from ..shared.logs import EventLog, install_handler
+from .configuration import CONFIGURATION_KEY, decode_configuration
+from .headers import NAMES
+from .registry import decode_announcement
+from .settings import find_path, load_direct_settings
+from .store import Store
+
+EXIT_INVALID_SETTINGS = 2
+EXIT_FAILED = 1
+# The connections of waiting watches count as in use, not as idle.
+STORE_IDLE_LIMIT_S = 20.0
+
+_log = EventLog(component="program")
+
+
+def run_program(path: Path | None = None) -> None:
+    """Run a node; exit with 2 on invalid settings."""
+    try:
+        path = path if path is not None else find_path()
+        settings = load_direct_settings(path)
+    except IbiswickError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    install_handler(program="ibiswick-node", stream=sys.stdout)
+    try:
+        uvloop.run(_run(settings, path))
+    except (OSError, IbiswickError) as error:
+        _log.error("node-failed", detail=error)
+        sys.exit(EXIT_FAILED)
+
+
+async def _run(settings: DirectSettings, path: Path) -> None:
+    store_pool = Pool(idle_limit_s=STORE_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
+    store = settings.store
+    fetch = PoolFetch(pool=store_pool, base_url=f"http://{store.host}:{store.port}")
+    node = DirectNode(
+        settings=settings,
+        platform=Store(fetch=fetch),
+        names=NAMES,
+        configuration_key=CONFIGURATION_KEY,
+        decode_configuration=decode_configuration,
+        decode_announcement=decode_announcement,
+    )
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.board.drain.set, True)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    # Everything loaded so far lives as long as the process; scanning it again would cost CPU.
+    gc.collect()
+    gc.freeze()
+    await node.run()
+    store_pool.close()
+
+
+def _reload(node: DirectNode, path: Path) -> None:
+    """Read the settings again; those that are not valid change nothing."""
+    try:
+        settings = load_direct_settings(path)
+    except IbiswickError as error:
+        _log.error("settings-refused", code=error.code, detail=error)
+        return
+    changed = [
+        name for name in settings._fields if getattr(settings, name) != getattr(node.settings, name)
+    ]
+    node.settings = settings
+    _log.info("settings-reloaded", changed=",".join(changed) or "-")
--- /dev/null
+++ b/src/ibiswick/_internal/platform/registry.py
@@ -0,0 +1,65 @@
+"""Decode what backend servers say of themselves."""
+
+from __future__ import annotations
+
+import re
+import urllib.parse
+from typing import Any
+
+import msgspec
+
+from ..direct.instances import Departure, Heartbeat
+from ..shared.errors import InvalidInputError, Problem
+from .fields import FieldReader
+
+_PATH = re.compile(r"/instances/([^/]+)/(heartbeat|deregister)")
+STATES = ("ready", "draining")
+
+
+def decode_announcement(method: str, path: str, body: bytes) -> Heartbeat | Departure | None:
+    """Return None for an unknown call; raise InvalidInputError for a malformed body."""
+    found = _PATH.fullmatch(path)
+    if found is None or method != "POST":
+        return None
+    instance = urllib.parse.unquote(found[1])
+    if found[2] == "deregister":
+        return Departure(instance, _find_born(body))
+    return _decode_heartbeat(instance, _decode_json(body))
+
+
+def _decode_json(body: bytes) -> Any:
+    try:
+        return msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidInputError([Problem("heartbeat", "$", "JSON", str(error))]) from error
+
+
+def _find_born(body: bytes) -> int | None:
+    """Return the start that a departing backend server names; its call may have no body."""
+    try:
+        value = msgspec.json.decode(body) if body else None
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    born = value.get("born") if isinstance(value, dict) else None
+    return born if isinstance(born, int) and not isinstance(born, bool) else None
+
+
+def _decode_heartbeat(instance: str, value: Any) -> Heartbeat:
+    reader = FieldReader(f"heartbeat of {instance}")
+    state = reader.read_text(value, "state")
+    if state not in STATES:
+        reader.note("state", f"one of {', '.join(STATES)}", state)
+    heartbeat = Heartbeat(
+        instance=instance,
+        service=reader.read_text(value, "service"),
+        availability_zone=reader.read_text(value, "zone"),
+        slots=reader.read_integer(value, "capacity", least=1),
+        leaving=state == "draining",
+        # How much longer the backend server works slowly after its start.
+        cold_s=reader.read_seconds(value, "warmup_left", 0.0),
+        born=reader.read_integer(value, "born", 0),
+        sequence=reader.read_integer(value, "sequence"),
+    )
+    reader.read_text(value, "address")
+    reader.finish()
+    return heartbeat
--- /dev/null
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -0,0 +1,72 @@
+"""Read the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+
+from ..direct.settings import DirectSettings
+from ..shared.errors import Problem, SettingsError
+from .fields import FieldReader
+
+# Names the settings file of a process.
+PATH_VARIABLE = "IBISWICK_NODE_FILE"
+
+
+def find_path() -> Path:
+    """Return the path of the settings file; raise SettingsError when it is not given."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsError([Problem("environment", PATH_VARIABLE, "a path", "nothing")])
+    return Path(path)
+
+
+def load_direct_settings(path: Path) -> DirectSettings:
+    """Read settings; raise InvalidInputError with every fault."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([Problem(str(path), "$", "a readable file", str(error))]) from error
+    return parse_direct_settings(text, source=str(path))
+
+
+def parse_direct_settings(text: str, *, source: str) -> DirectSettings:
+    """Parse settings; unknown fields are ignored."""
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError([Problem(source, "$", "TOML", str(error))]) from error
+    reader = FieldReader(source)
+    listen = reader.read_table(document, "listen_addrs")
+    bounds = reader.read_table(document, "bounds")
+    store = reader.read_table(document, "platform")
+    peer = reader.read_address(listen, "listen_addrs.inbound")
+    settings = DirectSettings(
+        vm=reader.read_text(document, "node_id"),
+        service=reader.read_text(document, "service"),
+        availability_zone=reader.read_text(document, "zone"),
+        backend_server=reader.read_address(document, "app_addr"),
+        caller=reader.read_address(listen, "listen_addrs.outbound"),
+        peer=peer,
+        readiness=reader.read_address(listen, "listen_addrs.readiness"),
+        registry=reader.read_address(listen, "listen_addrs.admin"),
+        exchange=peer._replace(port=_read_first_port(reader, document)),
+        store=reader.read_address(store, "platform.address"),
+        stop_grace_s=reader.read_seconds(bounds, "bounds.grace"),
+        retry_ratio=reader.read_number(bounds, "bounds.retry_budget_ratio"),
+        retry_window_s=reader.read_seconds(bounds, "bounds.budget_window"),
+        retry_slack=reader.read_number(bounds, "bounds.budget_slack"),
+        first_start=reader.read_flag(document, "bootstrap", False),
+    )
+    reader.finish()
+    return settings
+
+
+def _read_first_port(reader: FieldReader, document: dict[str, object]) -> int:
+    """Return the first of the ports that are free for messages between nodes."""
+    ports = reader.read_list(document, "internal_ports")
+    if ports and isinstance(ports[0], int) and 0 < ports[0] <= 65535:
+        return ports[0]
+    reader.note("internal_ports", "the first and the last port", ports)
+    return 0
--- /dev/null
+++ b/src/ibiswick/_internal/platform/store.py
@@ -0,0 +1,201 @@
+"""Call the platform's store with the interface of the object API.
+
+A key is the kind and the name of an object. Its value is the object's `spec`, its version the
+revision of the object's last change.
+"""
+
+from __future__ import annotations
+
+import urllib.parse
+from typing import Any, NoReturn
+
+import msgspec
+
+from ..shared.errors import (
+    ConflictError,
+    HistoryLostError,
+    NotSentError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    ResponseLostError,
+    ValueTooLargeError,
+)
+from ..shared.objectapi import MUST_NOT_EXIST, Fetch, FetchResponse, Listing, StoredObject
+
+# The store answers in milliseconds, and a slow one in less than half a second.
+TIMEOUT_S = 1.0
+RETRY_AFTER_S = 0.5
+# A store that holds more pages of one kind than this is not read on.
+MAX_PAGES = 200
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct):
+    current_rev: int
+    # Objects are decoded one by one, since a malformed one must not hide the others.
+    items: list[msgspec.Raw] = []
+    events: list[msgspec.Raw] = []
+    more: bool = False
+
+
+class Store:
+    """Implement `Platform` on the platform's store."""
+
+    def __init__(self, *, fetch: Fetch) -> None:
+        self._fetch = fetch
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object, or None when it is missing."""
+        response = await self._read(_build_path(key), TIMEOUT_S)
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            _raise_unavailable(response)
+        return _decode_object(key.partition("/")[0], response.body)
+
+    async def put(self, key: str, value: Any, *, expected: int | None = None) -> int:
+        """Write one object and return its version."""
+        kind, _, name = key.partition("/")
+        metadata: dict[str, Any] = {"name": name}
+        if expected == MUST_NOT_EXIST:
+            return await self._write("POST", _build_path(kind), metadata, value, key)
+        if expected is not None:
+            metadata["revision"] = expected
+        return await self._write("PUT", _build_path(key), metadata, value, key)
+
+    async def delete(self, key: str, *, expected: int | None = None) -> None:
+        """Delete one object; a missing one is no error."""
+        query = "" if expected is None else f"?revision={expected}"
+        response = await self._send("DELETE", _build_path(key) + query, b"")
+        if response.status not in (200, 204, 404):
+            _raise_write_failure(response, key)
+
+    async def list(
+        self, prefix: str, *, after: str = "", limit: int = 0, reverse: bool = False
+    ) -> Listing:
+        """Return every object of a kind; the revision is that of the first page."""
+        kind = prefix.partition("/")[0]
+        found: list[StoredObject] = []
+        revision = 0
+        for number in range(MAX_PAGES):
+            page = await self._read_page(kind, {"after": after} if after else {}, TIMEOUT_S)
+            if number == 0:
+                revision = page.current_rev
+            objects = [_decode_object(kind, raw) for raw in page.items]
+            found += [item for item in objects if item is not None]
+            if not page.more or not found:
+                break
+            after = found[-1].key.partition("/")[2]
+        return Listing(revision, tuple(found))
+
+    async def watch(self, prefix: str, *, after: int, timeout_s: float) -> Listing:
+        """Wait for changes of objects of a kind."""
+        kind = prefix.partition("/")[0]
+        query = {"watch": after, "wait_ms": int(timeout_s * 1000)}
+        page = await self._read_page(kind, query, timeout_s + TIMEOUT_S)
+        events = [_decode_event(kind, raw) for raw in page.events]
+        return Listing(page.current_rev, tuple(event for event in events if event is not None))
+
+    async def _read_page(self, kind: str, query: dict[str, Any], timeout_s: float) -> _Page:
+        target = _build_path(kind)
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        response = await self._read(target, timeout_s)
+        if response.status == 410:
+            raise HistoryLostError(f"the store has no history of {kind} from {query}")
+        if response.status != 200:
+            _raise_unavailable(response)
+        try:
+            return msgspec.json.decode(response.body, type=_Page)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise PlatformUnavailableError(f"malformed answer: {error}") from error
+
+    async def _read(self, target: str, timeout_s: float) -> FetchResponse:
+        try:
+            return await self._fetch("GET", target, {}, b"", timeout_s)
+        except (NotSentError, ResponseLostError) as error:
+            raise PlatformUnavailableError(
+                f"{error.code}: {error.detail}", retry_after_s=RETRY_AFTER_S
+            ) from error
+
+    async def _write(
+        self, method: str, target: str, metadata: dict[str, Any], value: Any, key: str
+    ) -> int:
+        body = msgspec.json.encode({"metadata": metadata, "spec": value, "status": None})
+        response = await self._send(method, target, body)
+        if response.status not in (200, 201):
+            _raise_write_failure(response, key)
+        written = _decode_object(key.partition("/")[0], response.body)
+        if written is None:
+            raise OutcomeUnknownError(f"malformed answer to the write of {key}")
+        return written.version
+
+    async def _send(self, method: str, target: str, body: bytes) -> FetchResponse:
+        headers = {"content-type": "application/json"} if body else {}
+        try:
+            return await self._fetch(method, target, headers, body, TIMEOUT_S)
+        except NotSentError as error:
+            raise PlatformUnavailableError(
+                f"{error.code}: {error.detail}", retry_after_s=RETRY_AFTER_S
+            ) from error
+        except ResponseLostError as error:
+            raise OutcomeUnknownError(f"{error.code}: {error.detail}") from error
+
+
+def _build_path(key: str) -> str:
+    return "/objects/" + urllib.parse.quote(key, safe="/")
+
+
+def _decode_object(kind: str, raw: bytes | msgspec.Raw) -> StoredObject | None:
+    """Return an object, or None when it is malformed."""
+    try:
+        found = msgspec.json.decode(raw, type=_Object)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return StoredObject(f"{kind}/{found.metadata.name}", found.metadata.revision, found.spec)
+
+
+def _decode_event(kind: str, raw: msgspec.Raw) -> StoredObject | None:
+    """Return the object of an event, without a value if it is gone; None when malformed."""
+    try:
+        event = msgspec.json.decode(raw, type=_Event)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    metadata = event.object.metadata
+    value = None if event.deleted else event.object.spec
+    return StoredObject(f"{kind}/{metadata.name}", metadata.revision, value)
+
+
+def _raise_unavailable(response: FetchResponse) -> NoReturn:
+    raise PlatformUnavailableError(f"status {response.status}", retry_after_s=RETRY_AFTER_S)
+
+
+def _raise_write_failure(response: FetchResponse, key: str) -> NoReturn:
+    if response.status == 409:
+        current = _decode_object(key.partition("/")[0], response.body)
+        raise ConflictError(
+            f"{key} was changed by another writer",
+            current=current.version if current is not None else 0,
+        )
+    if response.status == 404:
+        raise ConflictError(f"{key} does not exist", current=0)
+    if response.status == 413:
+        raise ValueTooLargeError(f"the platform does not take the value of {key}")
+    if response.status >= 500 and response.status != 503:
+        raise OutcomeUnknownError(f"status {response.status} to the write of {key}")
+    _raise_unavailable(response)
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -6,7 +6,16 @@
 from collections.abc import Mapping
 from typing import Generic, TypeVar
 
-from .records import BackendHealth, Endpoint, LeaseView, Phase, Refusal, Snapshot
+from .records import (
+    BackendHealth,
+    CallerLimits,
+    Endpoint,
+    LeaseView,
+    LocalInstance,
+    Phase,
+    Refusal,
+    Snapshot,
+)
 
 T = TypeVar("T")
 
@@ -55,6 +64,11 @@
     def __init__(self) -> None:
         self.snapshot: Cell[Snapshot | None] = Cell(None)
         self.endpoints: Cell[Mapping[str, tuple[Endpoint, ...]]] = Cell({})
+        self.caller_limits: Cell[CallerLimits] = Cell(CallerLimits())
+        # Set where backend servers announce themselves to their node.
+        self.instance: Cell[LocalInstance | None] = Cell(None)
+        # Nodes that share limits which hold for the whole fleet, this one included.
+        self.fleet_size: Cell[int] = Cell(1)
         self.phase: Cell[Phase] = Cell(Phase.STARTING)
         self.backend: Cell[BackendHealth] = Cell(BackendHealth(True, "not observed yet"))
         self.in_flight: Cell[int] = Cell(0)
--- a/src/ibiswick/_internal/shared/errors.py
+++ b/src/ibiswick/_internal/shared/errors.py
@@ -65,6 +65,12 @@
         self.retry_after_s = retry_after_s
 
 
+class HistoryLostError(PlatformError):
+    """Report a watch from a revision of which the platform no longer has the history."""
+
+    code = "history-lost"
+
+
 class OutcomeUnknownError(PlatformError):
     """Report a write to the platform that may or may not have taken effect."""
 
--- a/src/ibiswick/_internal/shared/logs.py
+++ b/src/ibiswick/_internal/shared/logs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import logbook
 
@@ -52,9 +52,11 @@
         self._logger.error(format_pairs(event, **fields))
 
 
-def install_handler(*, level: str = "INFO", program: str = "ibiswick") -> logbook.Handler:
-    """Send log lines of this process to standard error."""
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+def install_handler(
+    *, level: str = "INFO", program: str = "ibiswick", stream: TextIO | None = None
+) -> logbook.Handler:
+    """Send log lines of this process to a stream, by default standard error."""
+    handler = logbook.StreamHandler(stream or sys.stderr, level=level.upper())
     handler.format_string = (
         "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
         f"program={program} component={{record.channel}} {{record.message}}"
--- a/src/ibiswick/_internal/shared/objectapi.py
+++ b/src/ibiswick/_internal/shared/objectapi.py
@@ -81,7 +81,10 @@
         """Return objects under a prefix in order of their keys."""
 
     async def watch(self, prefix: str, *, after: int, timeout_s: float) -> Listing:
-        """Wait for writes under a prefix newer than a revision."""
+        """Wait for writes under a prefix newer than a revision.
+
+        Raise HistoryLostError when the platform has dropped writes that are newer.
+        """
 
 
 class FetchResponse(NamedTuple):
--- a/src/ibiswick/_internal/shared/records.py
+++ b/src/ibiswick/_internal/shared/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import IntEnum, StrEnum
-from typing import Any, Literal, NamedTuple, TypedDict
+from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
 
 class ServicePolicy(TypedDict):
@@ -16,8 +16,20 @@
     slow_start_ms: int
 
 
+class SplitPart(TypedDict):
+    """Send a share of a route's calls, by weight, to one service."""
+
+    service: str
+    weight: int
+
+
 class Route(TypedDict):
-    """Map a host and a path prefix to a service. `host` may be "*"; no methods means all."""
+    """Map a host and a path prefix to a service. `host` may be "*"; no methods means all.
+
+    With `split`, its parts take the place of `service`. A smaller `priority` goes first. After
+    `target_ms` a response is worth little. `prefers_local` keeps large bodies in the availability
+    zone where there is room.
+    """
 
     id: str
     host: str
@@ -29,6 +41,24 @@
     deadline_ms: int
     retries: int
     hedge_ms: int | None
+    split: NotRequired[list[SplitPart]]
+    priority: NotRequired[int]
+    target_ms: NotRequired[int]
+    prefers_local: NotRequired[bool]
+
+
+class CallerLimits(NamedTuple):
+    """Limit what callers may send; None is no limit, times are in seconds.
+
+    `head_s` is how long the head of a request may take, `idle_s` how long a connection may stay
+    without a request.
+    """
+
+    head_bytes: int = 64 * 1024
+    body_bytes: int | None = None
+    head_s: float = 60.0
+    # Longer than the idle limit of the nodes' own pools, so that these close first.
+    idle_s: float = 60.0
 
 
 class Snapshot(NamedTuple):
@@ -106,6 +136,20 @@
     reason: str
 
 
+class LocalInstance(NamedTuple):
+    """Name the backend server beside this node as it announced itself.
+
+    `born` is the moment of its start in milliseconds since 1970. A backend server that leaves takes
+    no new calls.
+    """
+
+    instance: str
+    service: str
+    slots: int
+    born: int
+    leaving: bool
+
+
 class LeaseView(NamedTuple):
     """Identify the zone-root lease that this node holds."""
 
