--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -161,6 +161,10 @@
                 return True
         return False
 
+    def get_duration(self, kind: str) -> float | None:
+        """Return the seconds that calls of a kind have held a slot, None without any."""
+        return self._kinds.get(kind)
+
     def estimate_duration(self, kind: str = "") -> float:
         """Return the seconds that a call of a kind probably holds its slot."""
         return self._kinds.get(kind, self._duration_s)
--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from ..shared.records import Endpoint, ServicePolicy
+from .heads import Load
 
 # A reported load older than this says nothing about the present.
 LOAD_FRESH_S = 1.0
@@ -25,6 +27,23 @@
 EJECT_BASE_S = 1.0
 EJECT_LIMIT_S = 30.0
 EJECT_MAX_SHARE = 0.4
+# A reported duration drifts towards that of the other endpoints, so that an endpoint which was slow
+# for a while is tried again.
+DURATION_FADE_S = 4.0
+# Weight of the newest report in the typical duration of a kind of call.
+TYPICAL_DURATION_WEIGHT = 0.05
+MAX_KINDS = 256
+# Part of a duration by which full slots add to it, since many backend servers slow down near full.
+CROWDING = 0.3
+# Crossing availability zones costs latency and bytes; large bodies cost the more.
+REMOTE_FACTOR = 1.2
+REMOTE_FACTOR_LARGE = 3.0
+# Single failures are common; above this share an endpoint is avoided.
+FAILED_SHARE = 0.05
+MAX_FAILED_SHARE = 0.95
+# An endpoint that can't be reached, or whose node refuses every call, is left alone so long.
+UNREACHABLE_BASE_S = 0.5
+UNREACHABLE_LIMIT_S = 4.0
 # A fault of health reports tends to hit many at once; below this share they are ignored.
 TRUSTED_READY_SHARE = 0.5
 
@@ -33,9 +52,11 @@
     """Hold what this node observed of one endpoint."""
 
     __slots__ = (
+        "durations",
         "ejected_until",
         "ejections",
         "endpoint",
+        "failed_share",
         "failures",
         "first_seen",
         "in_flight",
@@ -54,6 +75,9 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
+        # Seconds that a call of a kind holds a slot, and when that was reported.
+        self.durations: dict[str, tuple[float, float]] = {}
+        self.failed_share = 0.0
 
 
 class HealthChange(NamedTuple):
@@ -78,6 +102,7 @@
         self._slow_start_s = 0.0
         self._local_first = True
         self.typical_latency_s = INITIAL_LATENCY_S
+        self._typical_durations: dict[str, float] = {}
 
     @property
     def states(self) -> tuple[EndpointState, ...]:
@@ -122,22 +147,9 @@
             self._local, self._remote = active, []
 
     def choose(
-        self,
-        *,
-        now: float,
-        rng: random.Random,
-        exclude: tuple[EndpointState, ...] = (),
-        local_first: bool | None = None,
+        self, *, now: float, rng: random.Random, exclude: tuple[EndpointState, ...] = ()
     ) -> EndpointState | None:
-        """Choose an endpoint for the next attempt; one in `exclude` only if there is no other.
-
-        `local_first` takes the place of the service's own preference for its availability zone.
-        """
-        if local_first is False and self._remote and self._local:
-            chosen = self._pick(self._local + self._remote, now, rng, exclude)
-            if chosen is not None or not exclude:
-                return chosen
-            return self.choose(now=now, rng=rng, local_first=local_first)
+        """Choose an endpoint for the next attempt; one in `exclude` only if there is no other."""
         chosen = self._pick(self._local, now, rng, exclude)
         if chosen is None or self._load_per_slot(chosen, now) >= SPILL_LOAD:
             remote = self._pick(self._remote, now, rng, exclude)
@@ -147,7 +159,7 @@
                 chosen = remote
         if chosen is not None or not exclude:
             return chosen
-        return self.choose(now=now, rng=rng, local_first=local_first)
+        return self.choose(now=now, rng=rng)
 
     def _pick(
         self,
@@ -185,6 +197,83 @@
         penalty = 1 + min(state.failures, FAILURE_PENALTY_LIMIT)
         return load * max(state.latency_s, LATENCY_FLOOR_S) * penalty / weight
 
+    def choose_fastest(
+        self,
+        *,
+        kind: str,
+        now: float,
+        rng: random.Random,
+        exclude: tuple[EndpointState, ...] = (),
+        large: bool = False,
+    ) -> EndpointState | None:
+        """Choose the endpoint that will probably complete a call of a kind first.
+
+        One in `exclude`, or one that was set aside, is chosen only if there is no other.
+        """
+        known = self._states.values()
+        groups = (
+            [s for s in known if s not in self._ejected and s not in exclude],
+            [s for s in known if s not in exclude],
+            list(known),
+        )
+        states = next((group for group in groups if group), None)
+        if states is None:
+            return None
+        factor = REMOTE_FACTOR_LARGE if large else REMOTE_FACTOR
+
+        def estimate(state: EndpointState) -> tuple[float, float]:
+            is_remote = state.endpoint.availability_zone != self._availability_zone
+            completion_s = self._estimate_completion(state, kind, now)
+            return (completion_s * (factor if is_remote else 1.0), rng.random())
+
+        return min(states, key=estimate)
+
+    def _estimate_completion(self, state: EndpointState, kind: str, now: float) -> float:
+        """Return the seconds that a call would probably take there, failures included."""
+        duration_s = self._estimate_duration(state, kind, now)
+        slots = max(1, state.endpoint.slots)
+        load = state.in_flight
+        if now - state.load_at < LOAD_FRESH_S:
+            load = max(load, state.load)
+        waiting = max(0, load + 1 - slots)
+        failed_share = state.failed_share if state.failed_share > FAILED_SHARE else 0.0
+        crowding = CROWDING * min(load, slots) / slots
+        return duration_s * (1 + waiting / slots + crowding) / (1 - failed_share) ** 2
+
+    def _estimate_duration(self, state: EndpointState, kind: str, now: float) -> float:
+        typical_s = self._typical_durations.get(kind, INITIAL_LATENCY_S)
+        reported = state.durations.get(kind)
+        if reported is None:
+            return typical_s
+        duration_s, at = reported
+        trust = math.exp((at - now) / DURATION_FADE_S)
+        return typical_s + trust * (duration_s - typical_s)
+
+    def note_report(self, state: EndpointState, load: Load, kind: str, *, now: float) -> None:
+        """Keep what the endpoint's node reported."""
+        self.note_load(state, load.in_flight + load.queued, now=now)
+        state.failed_share = min(load.failed_percent / 100, MAX_FAILED_SHARE)
+        if load.duration_ms is None or len(state.durations) >= MAX_KINDS:
+            return
+        duration_s = max(load.duration_ms / 1000, LATENCY_FLOOR_S)
+        state.durations[kind] = (duration_s, now)
+        typical_s = self._typical_durations.get(kind, duration_s)
+        typical_s += TYPICAL_DURATION_WEIGHT * (duration_s - typical_s)
+        self._typical_durations[kind] = typical_s
+
+    def note_unreachable(
+        self, state: EndpointState, *, now: float, reason: str
+    ) -> HealthChange | None:
+        """Set an endpoint aside that takes no call at all, however many others are."""
+        if state in self._ejected or not self._knows(state):
+            return None
+        period_s = min(UNREACHABLE_LIMIT_S, UNREACHABLE_BASE_S * 2**state.ejections)
+        state.ejections += 1
+        state.ejected_until = now + period_s
+        self._ejected.append(state)
+        self._partition()
+        return HealthChange("ejected", state.endpoint, reason, period_s)
+
     def note_load(self, state: EndpointState, load: int, *, now: float) -> None:
         """Keep the load that the endpoint's node reported."""
         state.load = load
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -219,32 +219,43 @@
     return host.partition(":")[0]
 
 
-def format_load(in_flight: int, queued: int, slots: int) -> bytes:
-    """Write the load of a backend server."""
-    return b"%d,%d,%d" % (in_flight, queued, slots)
-
-
 class Load(NamedTuple):
-    """Load of a backend server as its node reports it."""
+    """Load of a backend server as its node reports it.
+
+    `duration_ms` is how long it holds a slot for a call of the kind that was asked for, None when
+    that is not known yet; `failed_percent` is the share of recent calls that it failed.
+    """
 
     in_flight: int
     queued: int
     slots: int
+    duration_ms: int | None = None
+    failed_percent: int = 0
+
+
+def format_load(load: Load) -> bytes:
+    """Write the load of a backend server."""
+    text = b"%d,%d,%d" % load[:3]
+    if load.duration_ms is None:
+        return text
+    return b"%b,%d,%d" % (text, load.duration_ms, load.failed_percent)
 
 
 def parse_load(value: bytes) -> Load | None:
     """Read the load of a backend server, or return None when it is malformed.
 
     >>> parse_load(b"3,0,6")
-    Load(in_flight=3, queued=0, slots=6)
+    Load(in_flight=3, queued=0, slots=6, duration_ms=None, failed_percent=0)
+    >>> parse_load(format_load(Load(3, 0, 6, 90, 2))) == (3, 0, 6, 90, 2)
+    True
     >>> parse_load(b"3,0") is None
     True
     """
     try:
-        in_flight, queued, slots = value[:30].split(b",")
-        return Load(int(in_flight), int(queued), int(slots))
+        numbers = [int(number) for number in value[:60].split(b",")]
     except ValueError:
         return None
+    return Load(*numbers) if len(numbers) in (3, 5) else None
 
 
 class ResponseHead(NamedTuple):
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -33,6 +33,7 @@
     OUTCOME,
     OUTCOME_NOT_RUN,
     WAIT,
+    Load,
     RequestHead,
     ResponseHead,
     WireNames,
@@ -56,6 +57,8 @@
 _log = EventLog(component="inbound")
 
 
+# Weight of the newest call in the share of failed ones.
+FAILED_WEIGHT = 0.05
 # Statuses that promise a caller that its call has not run; without its mark for that, a backend
 # server's response makes no such promise.
 PROMISING_STATUSES = frozenset((408, 421, 429, 503))
@@ -123,6 +126,7 @@
         self._snapshot: Snapshot | None = None
         self._connections = DEFAULT_CONNECTIONS
         self._instance: LocalInstance | None = None
+        self._failed_share = 0.0
         self._queue = SlotQueue(
             slots=slots, queue_s=policy.queue_s, length_per_slot=policy.length_per_slot
         )
@@ -204,12 +208,12 @@
                 detail, retry_after_s=refused.retry_after_s, fractions=bool(self._names.attempt)
             )
             wait = (WAIT, b"%d" % int(refused.retry_after_s * 1000))
-            send_answer(request, answer, [*self._add_load(own), wait])
+            send_answer(request, answer, [*self._add_load(own, claim.kind), wait])
             return
         started = self._clock()
         reached = False
         try:
-            reached = await self._forward(request, head, own, deadline)
+            reached = await self._forward(request, head, own, claim)
         finally:
             now = self._clock()
             duration_s = now - started if reached else None
@@ -309,9 +313,10 @@
         request: ServerRequest,
         head: RequestHead,
         own: Headers,
-        deadline: float | None,
+        claim: Claim,
     ) -> bool:
         """Forward a call; return whether the backend server answered it."""
+        deadline = claim.deadline
         body = RequestBody(request)
         if head.expects_continue:
             # The other node sends the body once it is read, which is when there is a connection.
@@ -339,7 +344,8 @@
             passed = read_response_head(response.headers, response.status, names)
             answer = await self._judge(response, passed)
             if answer is None:
-                await self._pass(request, response, passed, own)
+                self._note_result(response.status >= 500)
+                await self._pass(request, response, passed, own, claim.kind)
                 return True
         except NotSentError as error:
             if deadline is None or deadline - self._clock() > MIN_CONNECT_S:
@@ -349,8 +355,9 @@
             answer = build_unknown(str(error), timed_out=True)
         except ResponseLostError as error:
             answer = build_unknown(str(error), timed_out=False)
+        self._note_result(True)
         self._counts.add("ibiswick_peer_calls_total", "result", answer.code)
-        send_answer(request, answer, self._add_load(own))
+        send_answer(request, answer, self._add_load(own, claim.kind))
         return answer.status == 504
 
     async def _judge(self, response: ExchangeResponse, head: ResponseHead) -> Answer | None:
@@ -388,15 +395,17 @@
         response: ExchangeResponse,
         passed: ResponseHead,
         own: Headers,
+        kind: str,
     ) -> None:
         """Pass a response on; raise ResponseLostError when it breaks off before it is begun."""
         self._watcher.note_connect_success()
         if self._policy.buffer_bytes and request.method != "HEAD":
             body = await read_whole(response, limit=self._policy.buffer_bytes)
-            request.respond(response.status, passed.headers + self._add_load(own), body)
+            headers = passed.headers + self._add_load(own, kind)
+            request.respond(response.status, headers, body)
             self._counts.add("ibiswick_peer_calls_total", "result", "answered")
             return
-        headers = passed.headers + self._add_load(own)
+        headers = passed.headers + self._add_load(own, kind)
         try:
             await pass_response(request, response, headers)
         except AbortResponseError:
@@ -404,9 +413,20 @@
             raise
         self._counts.add("ibiswick_peer_calls_total", "result", "answered")
 
-    def _add_load(self, own: Headers) -> Headers:
+    def _add_load(self, own: Headers, kind: str = "") -> Headers:
         queue = self._queue
-        return [*own, (LOAD, format_load(queue.busy, queue.queued, queue.slots))]
+        duration_s = queue.get_duration(kind) if kind else None
+        load = Load(
+            queue.busy,
+            queue.queued,
+            queue.slots,
+            None if duration_s is None else int(duration_s * 1000),
+            int(self._failed_share * 100),
+        )
+        return [*own, (LOAD, format_load(load))]
+
+    def _note_result(self, failed: bool) -> None:
+        self._failed_share += FAILED_WEIGHT * (failed - self._failed_share)
 
     def _build_request(
         self, request: ServerRequest, head: RequestHead, body: RequestBody, deadline: float | None
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -95,7 +95,8 @@
     asked for a slot without waiting before a call waits for one; a node that refuses counts neither
     as an attempt nor against the budget. Responses up to `buffer_bytes` are passed on only when
     they are complete. `serves_draining` keeps serving callers until the node stops, and
-    `fractions` gives `Retry-After` in fractions of a second.
+    `fractions` gives `Retry-After` in fractions of a second. With `divides_deadline`, an attempt of
+    an idempotent call is given up early enough for the others.
     """
 
     names: WireNames = NO_NAMES
@@ -105,6 +106,7 @@
     buffer_bytes: int = 0
     serves_draining: bool = False
     fractions: bool = False
+    divides_deadline: bool = True
 
 
 DEFAULT_POLICY = CallPolicy()
@@ -467,18 +469,21 @@
         if attempt.outcome in (Outcome.LOST, Outcome.TIMEOUT):
             call.maybe_ran = True
             call.timed_out = attempt.outcome is Outcome.TIMEOUT
-        self._note_outcome(balancer, state, attempt, now)
+        self._note_outcome(call, balancer, state, attempt, now)
         return attempt
 
     def _choose(self, call: Call, balancer: Balancer, now: float) -> EndpointState | None:
         """Choose an endpoint; the last poll goes where the wait for a slot is the shortest."""
         if call.refusals and call.polls == 0:
             return min(call.refusals, key=_get_wait)[1]
-        return balancer.choose(
+        if not self._policy.polls:
+            return balancer.choose(now=now, rng=self._rng, exclude=call.tried)
+        return balancer.choose_fastest(
+            kind=call.route["id"],
             now=now,
             rng=self._rng,
             exclude=call.tried,
-            local_first=call.route.get("prefers_local"),
+            large=call.route.get("prefers_local", False),
         )
 
     async def _send(
@@ -492,12 +497,12 @@
         call_id = b"%b-%d" % (self._id_prefix, next(self._ids))
         idempotent = call.route["idempotent"]
         deadline = head_deadline = call.deadline
-        if deadline is not None:
+        if deadline is not None and self._policy.divides_deadline:
             head_deadline = compute_attempt_deadline(
                 now=now,
                 deadline=deadline,
                 idempotent=idempotent,
-                attempts_left=self._count_attempts_left(call, service, now),
+                attempts_left=call.allowed - call.attempts + 1,
                 typical_s=service.balancer.typical_latency_s,
             )
         limits = Limits(
@@ -533,11 +538,6 @@
             return Attempt(Outcome.LOST, str(error))
         return Attempt(Outcome.RESPONSE, "", response, head, body=body)
 
-    def _count_attempts_left(self, call: Call, service: ServiceState, now: float) -> int:
-        """Return how many attempts share the time left, this one included."""
-        left = call.allowed - call.attempts + 1
-        return left if service.budget.allows(now=now) else min(left, 1)
-
     async def _read_peer_outcome(self, response: ExchangeResponse, head: ResponseHead) -> Attempt:
         """Interpret a response made by the peer's node itself."""
         detail = f"the peer answered {response.status}"
@@ -611,13 +611,18 @@
         return Terms(route["id"], route.get("priority", 0), target_ms, patience_ms)
 
     def _note_outcome(
-        self, balancer: Balancer, state: EndpointState, attempt: Attempt, started: float
+        self,
+        call: Call,
+        balancer: Balancer,
+        state: EndpointState,
+        attempt: Attempt,
+        started: float,
     ) -> None:
         """Note what an attempt says about its endpoint."""
         now = self._clock()
         load = attempt.head.load if attempt.head is not None else None
         if load is not None:
-            balancer.note_load(state, load.in_flight + load.queued, now=now)
+            balancer.note_report(state, load, call.route["id"], now=now)
         status = attempt.response.status if attempt.response is not None else 0
         if attempt.outcome is Outcome.RESPONSE and status not in FAILURE_STATUSES:
             balancer.note_success(state, latency_s=now - started)
@@ -628,7 +633,10 @@
             # The backend server is busy, not broken.
             return
         reason = f"status-{status}" if status else attempt.outcome.value
-        change = balancer.note_failure(state, now=now, reason=reason)
+        if self._policy.polls and not attempt.reached:
+            change = balancer.note_unreachable(state, now=now, reason=attempt.detail)
+        else:
+            change = balancer.note_failure(state, now=now, reason=reason)
         if change is not None:
             self._log_health(change)
 
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -126,6 +126,7 @@
                 buffer_bytes=BUFFER_BYTES,
                 serves_draining=True,
                 fractions=True,
+                divides_deadline=False,
             ),
             origin=settings.service,
         )
