Test the adapter, the slots, and whole nodes with fake backend servers

Found and mended: a path that ends where a prefix does was routed (404 is due), and one wrong setting was named twice.

--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -96,7 +96,8 @@
     as an attempt nor against the budget. Responses up to `buffer_bytes` are passed on only when
     they are complete. `serves_draining` keeps serving callers until the node stops, and
     `fractions` gives `Retry-After` in fractions of a second. With `divides_deadline`, an attempt of
-    an idempotent call is given up early enough for the others.
+    an idempotent call is given up early enough for the others. With `needs_slash`, a path that ends
+    where the prefix of a route does has no route.
     """
 
     names: WireNames = NO_NAMES
@@ -107,6 +108,7 @@
     serves_draining: bool = False
     fractions: bool = False
     divides_deadline: bool = True
+    needs_slash: bool = False
 
 
 DEFAULT_POLICY = CallPolicy()
@@ -344,7 +346,7 @@
             return
         now = self._clock()
         if snapshot is not None and snapshot is not self._snapshot:
-            self._table = RouteTable(snapshot.routes)
+            self._table = RouteTable(snapshot.routes, needs_slash=self._policy.needs_slash)
             self._splits.update(snapshot.routes)
             for name, policy in snapshot.services.items():
                 state = self._services.get(name)
--- a/src/ibiswick/_internal/calls/routes.py
+++ b/src/ibiswick/_internal/calls/routes.py
@@ -12,7 +12,8 @@
 class RouteTable:
     """Look up routes by host, longest path prefix on segment boundaries, and method.
 
-    A route of the exact host wins over one of the wildcard host, whatever their prefixes.
+    A route of the exact host wins over one of the wildcard host, whatever their prefixes. With
+    `needs_slash`, the path must go on with a slash after the prefix.
 
     >>> route = {"id": "a", "host": "*", "prefix": "/status", "methods": ["GET"]}
     >>> RouteTable([route]).find("shop", "/status/7", "GET")["id"]
@@ -21,9 +22,10 @@
     True
     """
 
-    __slots__ = ("_hosts",)
+    __slots__ = ("_hosts", "_needs_slash")
 
-    def __init__(self, routes: Iterable[Route]) -> None:
+    def __init__(self, routes: Iterable[Route], *, needs_slash: bool = False) -> None:
+        self._needs_slash = needs_slash
         self._hosts: dict[str, dict[str, list[Route]]] = {}
         for route in routes:
             prefixes = self._hosts.setdefault(route["host"].lower(), {})
@@ -31,6 +33,8 @@
 
     def find(self, host: str, path: str, method: str) -> Route | None:
         """Return the route of a request; `host` is in lower case and has no port."""
+        if self._needs_slash:
+            path = path[: path.rfind("/")]
         prefixes = self._hosts.get(host)
         if prefixes is not None:
             route = _find_prefix(prefixes, path, method)
--- a/src/ibiswick/_internal/calls/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -764,6 +764,15 @@
             for connection in list(self.connections):
                 connection.abort()
 
+    def abort(self) -> None:
+        """Close the listener and every connection at once."""
+        if self._server is not None and self._socket is not None:
+            self._server.close()
+            self._server = None
+            self._socket.close()
+        for connection in list(self.connections):
+            connection.abort()
+
     def forget(self, connection: ServerConnection) -> None:
         """Drop a closed connection."""
         self.connections.discard(connection)
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -89,6 +89,7 @@
         decode_announcement: AnnouncementDecoder,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.settings = settings
         self.board = board = Blackboard()
@@ -108,6 +109,7 @@
             decode=decode_configuration,
             rng=rng,
             clock=clock,
+            wall_clock=wall_clock,
         )
         self._outbound = Outbound(
             workspace="",
@@ -127,6 +129,7 @@
                 serves_draining=True,
                 fractions=True,
                 divides_deadline=False,
+                needs_slash=True,
             ),
             origin=settings.service,
         )
@@ -171,6 +174,13 @@
             host=settings.exchange.host,
             port=settings.exchange.port,
         )
+        self._listeners = (
+            self._registry,
+            self._readiness,
+            self._peer,
+            self._exchange,
+            self._caller,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def _build_budget(self, now: float) -> Budget:
@@ -187,8 +197,7 @@
 
     async def run(self) -> None:
         """Serve until the node has been told to drain and has done so; raise OSError."""
-        listeners = (self._registry, self._readiness, self._peer, self._exchange, self._caller)
-        for listener in listeners:
+        for listener in self._listeners:
             await listener.start()
         await self.plane.start()
         self._tasks = [asyncio.create_task(supervise("limits", self._follow_configuration))]
@@ -197,11 +206,21 @@
         for task in self._tasks:
             task.cancel()
         await self.plane.stop()
-        await asyncio.gather(*(listener.stop() for listener in listeners))
+        await asyncio.gather(*(listener.stop() for listener in self._listeners))
         self._peers.close()
         self._backend.close()
         _log.info("node-stopped", vm=self.settings.vm)
 
+    def abort(self) -> None:
+        """Cut every connection and controller, as the end of the process does."""
+        for task in self._tasks:
+            task.cancel()
+        self.plane.cancel()
+        for listener in self._listeners:
+            listener.abort()
+        self._peers.close()
+        self._backend.close()
+
     async def _follow_configuration(self) -> None:
         """Serve once there is a configuration, and bound what callers may send by it."""
         cell = self.board.snapshot
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -131,10 +131,14 @@
             )
         ]
 
-    async def stop(self) -> None:
-        """Stop the controllers and remove the entry of a node whose backend server is gone."""
+    def cancel(self) -> None:
+        """Cancel the controllers."""
         for task in self._tasks:
             task.cancel()
+
+    async def stop(self) -> None:
+        """Stop the controllers."""
+        self.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     # Configuration
--- a/src/ibiswick/_internal/platform/fields.py
+++ b/src/ibiswick/_internal/platform/fields.py
@@ -8,6 +8,8 @@
 from ..shared.settings import Address
 
 _MISSING = object()
+_NO_ADDRESS = Address("", 0)
+MAX_PORT = 65535
 
 
 def parse_seconds(text: str) -> float | None:
@@ -46,75 +48,71 @@
         if self._problems:
             raise InvalidInputError(self._problems)
 
-    def _read(self, table: Any, path: str, kind: type, expected: str, default: Any) -> Any:
+    def _find(self, table: Any, path: str, kind: Any, expected: str, default: Any) -> Any:
+        """Return a field, or None after noting that it is missing or of another type."""
         name = path.rpartition(".")[2]
-        value = table.get(name, _MISSING) if isinstance(table, dict) else _MISSING
-        if value is _MISSING and default is not _MISSING:
-            return default
-        if isinstance(value, kind) and (kind is bool or not isinstance(value, bool)):
+        value = table.get(name, default) if isinstance(table, dict) else _MISSING
+        # True and false are whole numbers to Python, but not to the platform.
+        is_flag = isinstance(value, bool)
+        if isinstance(value, kind) and is_flag is (kind is bool):
             return value
         self.note(path, expected, value)
-        return kind()
+        return None
 
-    def read_text(self, table: Any, path: str, default: Any = _MISSING) -> str:
+    def read_text(self, table: Any, path: str) -> str:
         """Read a string that is not empty."""
-        value = self._read(table, path, str, "a string", default)
-        if value == "" and isinstance(table, dict) and table.get(path.rpartition(".")[2]) == "":
+        value = self._find(table, path, str, "a string", _MISSING)
+        if value == "":
             self.note(path, "a string that is not empty", value)
-        return value
+        return value or ""
 
     def read_integer(
         self, table: Any, path: str, default: Any = _MISSING, *, least: int = 0
     ) -> int:
         """Read a whole number that is not below a bound."""
-        value = self._read(table, path, int, "a whole number", default)
-        if isinstance(value, int) and value < least and self._has(table, path):
+        value = self._find(table, path, int, "a whole number", default)
+        if value is None:
+            return least
+        if value < least:
             self.note(path, f"a whole number of at least {least}", value)
         return value
 
-    def read_number(self, table: Any, path: str, default: Any = _MISSING) -> float:
+    def read_number(self, table: Any, path: str) -> float:
         """Read a number that is not negative."""
-        name = path.rpartition(".")[2]
-        value = table.get(name, default) if isinstance(table, dict) else default
-        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
-            return float(value)
-        self.note(path, "a number", value)
-        return 0.0
+        value = self._find(table, path, (int, float), "a number", _MISSING)
+        if value is None:
+            return 0.0
+        if value < 0:
+            self.note(path, "a number that is not negative", value)
+        return float(value)
 
-    def read_flag(self, table: Any, path: str, default: Any = _MISSING) -> bool:
+    def read_flag(self, table: Any, path: str, *, default: bool) -> bool:
         """Read true or false."""
-        return self._read(table, path, bool, "true or false", default)
+        return bool(self._find(table, path, bool, "true or false", default))
 
     def read_seconds(self, table: Any, path: str, default: Any = _MISSING) -> float:
         """Read a time with its unit, in seconds."""
-        text = self._read(table, path, str, "a time with its unit", default)
-        if not isinstance(text, str):
-            return text
-        seconds = parse_seconds(text)
-        if seconds is None:
-            if self._has(table, path):
-                self.note(path, "a number and ms or s", text)
-            return 0.0
-        return seconds
+        text = self._find(table, path, str, "a time with its unit", default)
+        seconds = None if text is None else parse_seconds(text)
+        if text is not None and seconds is None:
+            self.note(path, "a number and ms or s", text)
+        return seconds or 0.0
 
     def read_table(self, table: Any, path: str) -> dict[str, Any]:
         """Read a table."""
-        return self._read(table, path, dict, "a table", _MISSING)
+        return self._find(table, path, dict, "a table", _MISSING) or {}
 
     def read_list(self, table: Any, path: str) -> list[Any]:
         """Read a list."""
-        return self._read(table, path, list, "a list", _MISSING)
+        return self._find(table, path, list, "a list", _MISSING) or []
 
     def read_address(self, table: Any, path: str) -> Address:
         """Read an IP number and a port."""
-        text = self._read(table, path, str, "an address", _MISSING)
+        text = self._find(table, path, str, "an address", _MISSING)
+        if text is None:
+            return _NO_ADDRESS
         host, _, port = text.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
-            if self._has(table, path):
-                self.note(path, "an IP number, a colon and a port", text)
-            return Address("", 0)
+        if not host or not port.isdigit() or int(port) > MAX_PORT:
+            self.note(path, "an IP number, a colon and a port", text)
+            return _NO_ADDRESS
         return Address(host, int(port))
-
-    @staticmethod
-    def _has(table: Any, path: str) -> bool:
-        return isinstance(table, dict) and path.rpartition(".")[2] in table
--- a/src/ibiswick/_internal/platform/registry.py
+++ b/src/ibiswick/_internal/platform/registry.py
@@ -56,7 +56,7 @@
         slots=reader.read_integer(value, "capacity", least=1),
         leaving=state == "draining",
         # How much longer the backend server works slowly after its start.
-        cold_s=reader.read_seconds(value, "warmup_left", 0.0),
+        cold_s=reader.read_seconds(value, "warmup_left", "0s"),
         born=reader.read_integer(value, "born", 0),
         sequence=reader.read_integer(value, "sequence"),
     )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,7 +4,11 @@
 
 from typing import Any
 
+from ibiswick._internal.direct.instances import Heartbeat
+from ibiswick._internal.direct.members import NodeRecord
+from ibiswick._internal.direct.settings import DirectSettings
 from ibiswick._internal.shared.records import Member, MemberState, Route, ServicePolicy
+from ibiswick._internal.shared.settings import Address
 
 
 def build_policy(**changes: Any) -> ServicePolicy:
@@ -51,3 +55,56 @@
         state=MemberState.READY,
     )
     return member._replace(**changes)
+
+
+def build_heartbeat(**changes: Any) -> Heartbeat:
+    """Build a heartbeat of a backend server that takes calls."""
+    heartbeat = Heartbeat(
+        instance="i-1",
+        service="dukkan-masa",
+        availability_zone="ege-bir",
+        slots=6,
+        leaving=False,
+        cold_s=0.0,
+        born=1000,
+        sequence=1,
+    )
+    return heartbeat._replace(**changes)
+
+
+def build_node_record(**changes: Any) -> NodeRecord:
+    """Build the record of a node whose backend server takes calls."""
+    record = NodeRecord(
+        vm="vm-1",
+        availability_zone="ege-bir",
+        host="127.0.0.1",
+        peer_port=7001,
+        exchange_port=7002,
+        service="dukkan-masa",
+        instance="i-1",
+        born=1000,
+        slots=6,
+        accepting=True,
+        incarnation=1,
+        sequence=1,
+    )
+    return record._replace(**changes)
+
+
+def build_direct_settings(**changes: Any) -> DirectSettings:
+    """Build the settings of a node that reads the object API itself."""
+    local = Address("127.0.0.1", 0)
+    settings = DirectSettings(
+        vm="vm-1",
+        service="dukkan-masa",
+        availability_zone="ege-bir",
+        backend_server=local,
+        caller=local,
+        peer=local,
+        readiness=local,
+        registry=local,
+        exchange=local,
+        store=local,
+        retry_slack=64.0,
+    )
+    return settings._replace(**changes)
--- /dev/null
+++ b/tests/direct_network.py
@@ -0,0 +1,289 @@
+"""Run nodes that read the object API themselves, in virtual time and with fake backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from typing import Any
+
+import httptools
+import msgspec
+
+from builders import build_direct_settings
+from call_network import Client, VirtualLoop
+from ibiswick._internal.calls.serving import bind_socket
+from ibiswick._internal.direct.node import DirectNode
+from ibiswick._internal.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from ibiswick._internal.platform.headers import NAMES
+from ibiswick._internal.platform.registry import decode_announcement
+from ibiswick._internal.platform.store import Store
+from ibiswick._internal.shared.settings import Address
+from ibiswick._internal.standins.store import ObjectStore
+from platform_documents import build_beat, build_configuration
+from platform_store import StoreFetch
+
+HOST = "127.0.0.1"
+BEAT_S = 1.5
+WORK_S = 0.02
+
+
+class FakeBackendServer:
+    """Run calls by what their path asks for, and record what ran.
+
+    The last part of a path is a behaviour: `ok`, `slow`, `shed`, `fail`, `unsigned`, `crash`,
+    `unframed`, `cut-unframed`, `extra`, or `late-extra`, which answers a second time later.
+    """
+
+    def __init__(self, loop: VirtualLoop, *, instance: str, service: str) -> None:
+        self.loop = loop
+        self.instance = instance
+        self.service = service
+        self.runs: Counter[str] = Counter()
+        self.cancelled = 0
+        self.running = 0
+        self.peak = 0
+        self.seen: list[dict[str, str]] = []
+        self.work_s = WORK_S
+
+
+class BackendConnection(asyncio.Protocol):
+    """Answer the requests of one connection."""
+
+    def __init__(self, server: FakeBackendServer) -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: Any = None
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._body = b""
+        self._task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._task is not None and not self._task.done():
+            self._server.cancelled += 1
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self._url, self._headers, self._body = b"", {}, b""
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self._task = self._server.loop.create_task(
+            self._run(self._url.decode(), dict(self._headers), self._body)
+        )
+
+    async def _run(self, url: str, headers: dict[str, str], body: bytes) -> None:
+        server = self._server
+        server.seen.append(headers)
+        attempt = headers["ibiswick-attempt-id"]
+        behaviour = url.rpartition("/")[2]
+        if headers.get("ibiswick-expected-instance") != server.instance:
+            self._write("421 Misdirected", attempt, b"", signed=False)
+            return
+        if behaviour == "shed":
+            self._write(
+                "503 Busy", attempt, b"", signed=False, extra="Ibiswick-Not-Executed: 1\r\n"
+            )
+            return
+        server.runs[attempt] += 1
+        server.running += 1
+        server.peak = max(server.peak, server.running)
+        try:
+            await asyncio.sleep(server.work_s * (10 if behaviour == "slow" else 1))
+        finally:
+            server.running -= 1
+        content = f"{attempt} by {server.instance}, {len(body)} bytes".encode()
+        self._respond(behaviour, attempt, content)
+
+    def _respond(self, behaviour: str, attempt: str, content: bytes) -> None:
+        if behaviour == "crash":
+            self._transport.abort()
+        elif behaviour == "fail":
+            self._write("500 Failed", attempt, b"")
+        elif behaviour == "unsigned":
+            self._write("200 OK", attempt, content, signed=False)
+        elif behaviour in ("unframed", "cut-unframed"):
+            self._transport.write(self._build_head("200 OK", attempt) + b"\r\n" + content)
+            if behaviour == "unframed":
+                self._transport.close()
+            else:
+                self._transport.abort()
+        else:
+            self._write("200 OK", attempt, content)
+            if behaviour == "extra":
+                self._write("200 OK", attempt, b"extra")
+            if behaviour == "late-extra":
+                loop = self._server.loop
+                loop.call_later(0.05, self._write, "200 OK", attempt, b"late extra")
+
+    def _build_head(self, status: str, attempt: str, *, signed: bool = True) -> bytes:
+        signature = "Ibiswick-Response-Signature: s\r\n" if signed else ""
+        return f"HTTP/1.1 {status}\r\nIbiswick-Attempt-Id: {attempt}\r\n{signature}".encode()
+
+    def _write(
+        self, status: str, attempt: str, body: bytes, *, signed: bool = True, extra: str = ""
+    ) -> None:
+        head = self._build_head(status, attempt, signed=signed)
+        length = f"{extra}Content-Length: {len(body)}\r\n\r\n".encode()
+        self._transport.write(head + length + body)
+
+
+class DirectMesh:
+    """Run nodes on one store, each with a backend server that announces itself."""
+
+    def __init__(self, loop: VirtualLoop, services: list[str]) -> None:
+        self.loop = loop
+        self.store = ObjectStore()
+        self.fetches: list[StoreFetch] = []
+        self.backends: list[FakeBackendServer] = []
+        self.nodes: list[DirectNode] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.beating: list[bool] = []
+        self.services = services
+        self.born = 1_000_000
+
+    def write_configuration(self, version: str = "0000000c", **changes: Any) -> None:
+        """Write a configuration as the operator does."""
+        document = build_configuration(version) | changes
+        self.store.put(CONFIGURATION_KEY, document)
+        for fetch in self.fetches:
+            fetch.wake()
+
+    async def start(self, *, wait_s: float = 4.0) -> None:
+        """Start every node and wait until all know each other."""
+        self.write_configuration()
+        for index in range(len(self.services)):
+            await self.add(index)
+        await asyncio.sleep(wait_s)
+
+    async def add(self, index: int) -> None:
+        """Start one node and its backend server."""
+        service = self.services[index]
+        backend = FakeBackendServer(self.loop, instance=f"i-{index}", service=service)
+        held = [bind_socket(HOST, 0) for _ in range(6)]
+        await self.loop.create_server(lambda: BackendConnection(backend), sock=held[0])
+        addresses = [Address(HOST, item.getsockname()[1]) for item in held]
+        for item in held:
+            item.close()
+        settings = build_direct_settings(
+            vm=f"vm-{index}",
+            service=service,
+            availability_zone=f"zone-{index % 2}",
+            backend_server=addresses[0],
+            caller=addresses[1],
+            peer=addresses[2],
+            readiness=addresses[3],
+            registry=addresses[4],
+            exchange=addresses[5],
+        )
+        self.backends.append(backend)
+        fetch = StoreFetch(self.store)
+        self.fetches.append(fetch)
+        node = self._build_node(settings, fetch, index)
+        self.nodes.append(node)
+        self.tasks.append(self.loop.create_task(node.run()))
+        self.beating.append(True)
+        await asyncio.sleep(0.01)
+        self.loop.create_task(self._beat(index))
+
+    def _build_node(self, settings: Any, fetch: StoreFetch, seed: int) -> DirectNode:
+        return DirectNode(
+            settings=settings,
+            platform=Store(fetch=fetch),
+            names=NAMES,
+            configuration_key=CONFIGURATION_KEY,
+            decode_configuration=decode_configuration,
+            decode_announcement=decode_announcement,
+            rng=random.Random(seed),
+            clock=self.loop.time,
+            wall_clock=self.loop.time,
+        )
+
+    async def restart(self, index: int) -> None:
+        """Kill a node's process and start it again; its backend server lives on."""
+        await self.kill(index)
+        node = self._build_node(self.nodes[index].settings, self.fetches[index], index + 100)
+        self.nodes[index] = node
+        self.tasks[index] = self.loop.create_task(node.run())
+
+    async def kill(self, index: int) -> None:
+        """End a node's process without notice."""
+        self.tasks[index].cancel()
+        await asyncio.gather(self.tasks[index], return_exceptions=True)
+        self.nodes[index].abort()
+
+    async def _beat(self, index: int) -> None:
+        backend = self.backends[index]
+        sequence = 0
+        while self.beating[index]:
+            sequence += 1
+            await self.announce(
+                index,
+                "heartbeat",
+                build_beat(service=backend.service, sequence=sequence, born=self.born + index),
+            )
+            await asyncio.sleep(BEAT_S)
+
+    async def announce(self, index: int, call: str, body: dict[str, Any]) -> int:
+        """Send what a backend server says of itself; return the status, 0 without an answer."""
+        raw = msgspec.json.encode(body)
+        path = f"/instances/{self.backends[index].instance}/{call}"
+        head = f"POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(raw)}\r\n\r\n".encode()
+        client = await self.connect(self.nodes[index].settings.registry.port)
+        if client is None:
+            return 0
+        client.transport.write(head + raw)
+        await client.done
+        client.transport.close()
+        return client.status
+
+    async def connect(self, port: int) -> Client | None:
+        """Open a connection; None when nothing listens."""
+        try:
+            _, client = await self.loop.create_connection(lambda: Client(self.loop), HOST, port)
+        except ConnectionRefusedError:
+            return None
+        return client
+
+    async def call(
+        self, index: int, path: str, attempt: str, *, method: str = "GET", body: bytes = b""
+    ) -> Client:
+        """Make one call at a node and wait for its end."""
+        client = await self.connect(self.nodes[index].settings.caller.port)
+        assert client is not None
+        client.transport.write(build_request(path, attempt, method=method, body=body))
+        await client.done
+        client.transport.close()
+        return client
+
+    def count_runs(self, attempt: str) -> int:
+        """Return how often a call has run, on all backend servers."""
+        return sum(backend.runs[attempt] for backend in self.backends)
+
+
+def build_request(
+    path: str, attempt: str, *, method: str = "GET", body: bytes = b"", deadline_ms: int = 1000
+) -> bytes:
+    """Build a request as a caller sends it."""
+    length = f"Content-Length: {len(body)}\r\n" if body or method == "POST" else ""
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nIbiswick-Attempt-Id: {attempt}\r\n"
+        f"Ibiswick-Deadline-Ms: {deadline_ms}\r\n"
+        f"Ibiswick-Caller-Service: forged\r\n{length}\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/tests/platform_store.py
@@ -0,0 +1,138 @@
+"""Stand in for the platform's store, with its rates, its lost answers and its forgotten history."""
+
+from __future__ import annotations
+
+import asyncio
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from ibiswick._internal.shared.errors import ConflictError, NotSentError, ResponseLostError
+from ibiswick._internal.shared.objectapi import MUST_NOT_EXIST, FetchResponse
+from ibiswick._internal.standins.store import ObjectStore
+
+
+class StoreFetch:
+    """Implement `Fetch` on an ObjectStore as the platform's store answers.
+
+    * `status`: every call is refused with this status.
+    * `unreachable`: no connection can be opened.
+    * `lose_answers`: so many of the next writes take effect without an answer.
+    * `history_from`: watches from an earlier revision are answered 410.
+    * `page`: objects in one page of a list.
+    """
+
+    def __init__(self, store: ObjectStore | None = None) -> None:
+        self.store = store if store is not None else ObjectStore()
+        self.status = 0
+        self.unreachable = False
+        self.lose_answers = 0
+        self.history_from = 0
+        self.page = 500
+        self.calls: list[tuple[str, str]] = []
+        self._wake = asyncio.Event()
+
+    async def __call__(
+        self, method: str, target: str, headers: Mapping[str, str], body: bytes, timeout_s: float
+    ) -> FetchResponse:
+        """Answer one call."""
+        self.calls.append((method, target))
+        if self.unreachable:
+            raise NotSentError("refused")
+        if self.status:
+            return self._answer(self.status, {})
+        path, _, text = target.partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        key = path.removeprefix("/objects/")
+        if method != "GET":
+            response = self._write(method, key, query, body)
+            self.wake()
+            if self.lose_answers:
+                self.lose_answers -= 1
+                raise ResponseLostError("the answer was lost")
+            return response
+        if "watch" in query:
+            return await self._watch(key, int(query["watch"]), int(query["wait_ms"]) / 1000)
+        if "/" in key:
+            found = self.store.get(key)
+            return self._answer(404, {}) if found is None else self._answer_object(key)
+        return self._list(key, query.get("after", ""))
+
+    def wake(self) -> None:
+        """Let the pending watches look for changes that another writer made."""
+        self._wake.set()
+        self._wake = asyncio.Event()
+
+    def _list(self, kind: str, after: str) -> FetchResponse:
+        prefix = kind + "/"
+        listing = self.store.list(prefix, after=prefix + after if after else "", limit=10_000)
+        items = [self._show(item.key) for item in listing.objects]
+        page = {
+            "items": items[: self.page],
+            "more": len(items) > self.page,
+            "current_rev": listing.revision,
+        }
+        return self._answer(200, page)
+
+    async def _watch(self, kind: str, after: int, wait_s: float) -> FetchResponse:
+        if after < self.history_from:
+            return self._answer(410, {})
+        changes = self.store.list_changes(kind + "/", after=after)
+        if not changes.objects:
+            wake = self._wake
+            try:
+                async with asyncio.timeout(wait_s):
+                    await wake.wait()
+            except TimeoutError:
+                pass
+            changes = self.store.list_changes(kind + "/", after=after)
+        events = [
+            {
+                "deleted": item.value is None,
+                "object": {
+                    "metadata": {"name": item.key.partition("/")[2], "revision": item.version},
+                    "spec": item.value,
+                },
+            }
+            for item in changes.objects
+        ]
+        return self._answer(200, {"events": events, "current_rev": changes.revision})
+
+    def _write(self, method: str, key: str, query: dict[str, str], body: bytes) -> FetchResponse:
+        document = msgspec.json.decode(body) if body else {"metadata": {}}
+        revision = document["metadata"].get("revision") or query.get("revision")
+        expected = None if revision is None else int(revision)
+        if method == "POST":
+            key += "/" + document["metadata"]["name"]
+            expected = MUST_NOT_EXIST
+        elif self.store.get(key) is None:
+            return self._answer(404, {})
+        try:
+            if method == "DELETE":
+                self.store.delete(key, expected=expected)
+                return self._answer(200, {})
+            self.store.put(key, document["spec"], expected=expected)
+        except ConflictError:
+            return self._answer(409, self._show(key))
+        return self._answer_object(key)
+
+    def _show(self, key: str) -> dict[str, Any]:
+        found = self.store.get(key)
+        assert found is not None
+        metadata = {
+            "name": key.partition("/")[2],
+            "revision": found.version,
+            "created_rev": 1,
+            "finalizers": [],
+            "deleting": False,
+        }
+        return {"metadata": metadata, "spec": found.value, "status": None}
+
+    def _answer_object(self, key: str) -> FetchResponse:
+        return self._answer(200, self._show(key))
+
+    @staticmethod
+    def _answer(status: int, value: Any) -> FetchResponse:
+        return FetchResponse(status, {}, msgspec.json.encode(value))
--- /dev/null
+++ b/tests/test_direct_calls.py
@@ -0,0 +1,251 @@
+"""Check calls through nodes that read the object API themselves, against what ran.
+
+Whole nodes run in virtual time; only the network, the store, the backend servers and the callers
+are fakes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import logbook
+import pytest
+
+from call_network import Client, VirtualLoop, run_virtual
+from direct_network import DirectMesh, build_request
+from ibiswick._internal.shared.records import Phase
+from platform_documents import build_beat
+
+logbook.NullHandler().push_application()
+
+COUNTERS = ["counter", "counter", "counter", "archive"]
+
+
+def run_mesh(scenario: Any, services: list[str] = COUNTERS) -> Any:
+    """Run a scenario on a mesh in virtual time."""
+
+    async def main(loop: VirtualLoop) -> Any:
+        mesh = DirectMesh(loop, services)
+        await mesh.start()
+        return await scenario(mesh)
+
+    return run_virtual(main)
+
+
+def test_a_call_is_served_with_the_headers_that_backend_servers_expect() -> None:
+    """Guard against calls that a backend server refuses or takes for those of another caller."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[Client, DirectMesh]:
+        return await mesh.call(3, "/book/7/ok", "a1", method="POST", body=b"body"), mesh
+
+    client, mesh = run_mesh(scenario)
+    assert client.status == 200
+    assert client.headers["ibiswick-attempt-id"] == "a1"
+    assert client.headers["ibiswick-response-signature"] == "s"
+    assert client.body.startswith(b"a1 by i-")
+    assert client.body.endswith(b"4 bytes")
+    (seen,) = [seen for backend in mesh.backends for seen in backend.seen]
+    assert seen["ibiswick-caller-service"] == "archive"
+    assert 0 < int(seen["ibiswick-deadline-ms"]) <= 1000
+    assert not [name for name in seen if name in ("ibiswick-terms", "ibiswick-call")]
+
+
+def test_every_node_is_ready_only_with_a_configuration() -> None:
+    """Guard against callers that are sent to a node which can serve nothing."""
+
+    async def scenario(mesh: DirectMesh) -> list[bool]:
+        return [node.ready for node in mesh.nodes]
+
+    assert run_mesh(scenario) == [True] * 4
+
+    async def main(loop: VirtualLoop) -> tuple[bool, Client]:
+        mesh = DirectMesh(loop, ["counter"])
+        await mesh.add(0)
+        await asyncio.sleep(2)
+        return mesh.nodes[0].ready, await mesh.call(0, "/read/1/ok", "a1")
+
+    ready, client = run_virtual(main)
+    assert not ready
+    assert client.status == 503
+    assert float(client.headers["retry-after"]) > 0
+
+
+def test_an_unknown_route_is_answered_404() -> None:
+    """Guard against calls of a route that was never configured."""
+
+    async def scenario(mesh: DirectMesh) -> list[int]:
+        paths = ["/nowhere/1/ok", "/bookings/1/ok", "/book"]
+        return [(await mesh.call(0, path, "a1")).status for path in paths]
+
+    assert run_mesh(scenario) == [404, 404, 404]
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "statuses", "most"),
+    [
+        ("/book/1/crash", "POST", {502}, 1),
+        ("/book/1/unsigned", "POST", {502}, 1),
+        ("/book/1/fail", "POST", {500}, 1),
+        ("/book/1/cut-unframed", "POST", {502}, 1),
+        ("/book/1/shed", "POST", {503}, 0),
+        ("/read/1/crash", "GET", {502}, 2),
+        ("/read/1/fail", "GET", {500}, 2),
+        ("/read/1/shed", "GET", {503}, 0),
+    ],
+)
+def test_failures_are_answered_by_what_ran(
+    path: str, method: str, statuses: set[int], most: int
+) -> None:
+    """Guard against calls that run twice, and against "not run" for one that did."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[Client, int]:
+        client = await mesh.call(0, path, "a1", method=method)
+        return client, mesh.count_runs("a1")
+
+    client, runs = run_mesh(scenario)
+    assert client.status in statuses
+    assert runs == most
+
+
+def test_a_response_without_length_is_complete_at_the_end_of_its_connection() -> None:
+    """Guard against refusing what a backend server may send."""
+
+    async def scenario(mesh: DirectMesh) -> Client:
+        return await mesh.call(0, "/book/1/unframed", "a1", method="POST")
+
+    client = run_mesh(scenario)
+    assert client.status == 200
+    assert client.complete
+
+
+@pytest.mark.parametrize("behaviour", ["extra", "late-extra"])
+def test_an_extra_response_reaches_nobody(behaviour: str) -> None:
+    """Guard against bytes that belong to no call and are taken for another call's response."""
+
+    async def scenario(mesh: DirectMesh) -> list[tuple[str, Client]]:
+        found = []
+        for number in range(40):
+            kind = behaviour if number % 2 else "slow"
+            attempt = f"a{number}"
+            found.append((attempt, await mesh.call(0, f"/read/1/{kind}", attempt)))
+        return found
+
+    for attempt, client in run_mesh(scenario):
+        assert client.status == 200
+        assert client.body.startswith(f"{attempt} by".encode())
+
+
+def test_pipelined_calls_run_together_and_are_answered_in_order() -> None:
+    """Guard against a caller that waits for each call in turn, and against crossed responses."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[bytes, float]:
+        received = bytearray()
+        complete = asyncio.Event()
+
+        class Sink(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                received.extend(data)
+                if received.count(b" by i-") == 3:
+                    complete.set()
+
+        port = mesh.nodes[0].settings.caller.port
+        transport, _ = await mesh.loop.create_connection(Sink, "127.0.0.1", port)
+        started = mesh.loop.time()
+        for number, kind in enumerate(("slow", "ok", "ok")):
+            transport.write(build_request(f"/read/1/{kind}", f"a{number}"))
+        await complete.wait()
+        return bytes(received), mesh.loop.time() - started
+
+    received, took_s = run_mesh(scenario)
+    positions = [received.index(f"a{number} by".encode()) for number in range(3)]
+    assert positions == sorted(positions)
+    assert took_s < 0.235
+
+
+def test_a_caller_that_leaves_cancels_the_work() -> None:
+    """Guard against backend servers that work for nobody."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, int]:
+        client = await mesh.connect(mesh.nodes[0].settings.caller.port)
+        assert client is not None
+        client.transport.write(build_request("/read/1/slow", "a1"))
+        await asyncio.sleep(0.05)
+        running = sum(backend.running for backend in mesh.backends)
+        client.transport.close()
+        await asyncio.sleep(0.05)
+        return running, sum(backend.running for backend in mesh.backends)
+
+    assert run_mesh(scenario) == (1, 0)
+
+
+def test_slots_are_never_exceeded_in_a_burst() -> None:
+    """Guard against calls that a full backend server never answers."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[Client], list[int]]:
+        calls = [mesh.call(n % 4, "/read/1/slow", f"a{n}") for n in range(120)]
+        clients = await asyncio.gather(*calls)
+        return list(clients), [backend.peak for backend in mesh.backends]
+
+    clients, peaks = run_mesh(scenario)
+    assert max(peaks) <= 6
+    statuses = {client.status for client in clients}
+    assert statuses == {200, 503}
+    for client in clients:
+        if client.status == 503:
+            assert 0 <= float(client.headers["retry-after"]) <= 1 / 3
+            assert client.finished_at - client.started_at < 0.3
+
+
+def test_a_leaving_backend_server_gets_no_new_work() -> None:
+    """Guard against work for a backend server that has been told it may go."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, list[int], int]:
+        body = build_beat(state="draining", sequence=1000, born=mesh.born)
+        status = await mesh.announce(0, "heartbeat", body)
+        before = len(mesh.backends[0].seen)
+        clients = [await mesh.call(n % 4, "/book/1/ok", f"a{n}", method="POST") for n in range(12)]
+        after = len(mesh.backends[0].seen)
+        return status, [client.status for client in clients], after - before
+
+    status, statuses, arrivals = run_mesh(scenario)
+    assert status == 200
+    assert statuses == [200] * 12
+    assert arrivals == 0
+
+
+def test_a_planned_stop_cuts_nothing_off() -> None:
+    """Guard against calls that end without an answer when their node stops."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[Client], Phase, bool]:
+        calls = [
+            asyncio.create_task(mesh.call(0, "/read/1/slow", f"a{number}")) for number in range(6)
+        ]
+        await asyncio.sleep(0.03)
+        mesh.nodes[0].board.drain.set(True)
+        await asyncio.sleep(0.3)
+        ready = mesh.nodes[0].ready
+        calls.append(asyncio.create_task(mesh.call(0, "/book/1/ok", "late", method="POST")))
+        clients = await asyncio.gather(*calls)
+        await mesh.tasks[0]
+        return list(clients), mesh.nodes[0].board.phase.value, ready
+
+    clients, phase, ready = run_mesh(scenario)
+    assert [client.status for client in clients] == [200] * 7
+    assert clients[-1].headers["connection"] == "close"
+    assert phase is Phase.STOPPED
+    assert not ready
+
+
+def test_a_node_that_restarts_serves_its_backend_server_after_a_heartbeat() -> None:
+    """Guard against a node that passes calls on without knowing who is beside it."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[Any, int]:
+        await mesh.restart(0)
+        await asyncio.sleep(0.01)
+        early = mesh.nodes[0].board.instance.value
+        await asyncio.sleep(3)
+        clients = [await mesh.call(0, "/book/1/ok", f"a{n}", method="POST") for n in range(4)]
+        return early, sum(client.status == 200 for client in clients)
+
+    assert run_mesh(scenario) == (None, 4)
--- /dev/null
+++ b/tests/test_instances.py
@@ -0,0 +1,75 @@
+"""Check which backend server a node takes for its own."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from builders import build_heartbeat
+from ibiswick._internal.direct.instances import Departure, InstanceTable, Verdict
+
+
+def test_a_heartbeat_of_an_earlier_start_changes_nothing() -> None:
+    """Guard against a delayed heartbeat that brings back a crashed backend server."""
+    table = InstanceTable()
+    table.note_heartbeat(build_heartbeat(instance="new", born=2000, sequence=1))
+    late = build_heartbeat(instance="old", born=1000, sequence=90)
+    assert table.note_heartbeat(late) is Verdict.LATE
+    assert table.current is not None
+    assert table.current.instance == "new"
+
+
+def test_a_restart_under_the_same_id_begins_anew() -> None:
+    """Guard against a restarted backend server whose small sequence counts as late."""
+    table = InstanceTable()
+    table.note_heartbeat(build_heartbeat(born=1000, sequence=90, leaving=True))
+    assert table.note_heartbeat(build_heartbeat(born=2000, sequence=1)) is Verdict.NEW
+    assert table.current is not None
+    assert not table.current.leaving
+
+
+def test_leaving_is_final_for_one_start() -> None:
+    """Guard against new work for a backend server that has said that it leaves."""
+    table = InstanceTable()
+    table.note_heartbeat(build_heartbeat(sequence=1))
+    table.note_heartbeat(build_heartbeat(sequence=2, leaving=True))
+    table.note_heartbeat(build_heartbeat(sequence=3, leaving=False))
+    assert table.current is not None
+    assert table.current.leaving
+
+
+@pytest.mark.parametrize("born", [None, 1000])
+def test_a_departed_backend_server_stays_gone(born: int | None) -> None:
+    """Guard against heartbeats that arrive after the call that ends them."""
+    table = InstanceTable()
+    table.note_heartbeat(build_heartbeat(born=1000, sequence=1))
+    table.note_departure(Departure("i-1", born))
+    assert table.note_heartbeat(build_heartbeat(born=1000, sequence=2)) is Verdict.DEPARTED
+    assert table.current is not None
+    assert table.current.leaving
+
+
+def test_a_late_departure_does_not_end_the_next_start() -> None:
+    """Guard against a delayed departure that ends the successor under the same id."""
+    table = InstanceTable()
+    table.note_heartbeat(build_heartbeat(born=2000, sequence=1))
+    table.note_departure(Departure("i-1", 1000))
+    assert table.current is not None
+    assert not table.current.leaving
+
+
+def test_the_order_of_arrival_does_not_matter() -> None:
+    """Guard against states that depend on which of two delayed heartbeats came first."""
+    heartbeats = [
+        build_heartbeat(instance="a", born=1000, sequence=number, leaving=number == 3)
+        for number in range(4)
+    ] + [build_heartbeat(instance="b", born=2000, sequence=number) for number in range(3)]
+    for seed in range(50):
+        shuffled = list(heartbeats)
+        random.Random(seed).shuffle(shuffled)
+        table = InstanceTable()
+        for heartbeat in shuffled:
+            table.note_heartbeat(heartbeat)
+        assert table.current is not None
+        assert (table.current.instance, table.current.leaving) == ("b", False)
