--- a/src/ibiswick/_internal/platform/program.py
+++ b/src/ibiswick/_internal/platform/program.py
@@ -13,8 +13,9 @@
 from ..calls.pool import Pool, PoolFetch
 from ..direct.node import UNACKNOWLEDGED_S, DirectNode
 from ..direct.settings import DirectSettings
+from ..shared.boundedlogs import BoundedHandler
 from ..shared.errors import IbiswickError
-from ..shared.logs import EventLog, install_handler
+from ..shared.logs import EventLog
 from .configuration import CONFIGURATION_KEY, decode_configuration
 from .headers import NAMES
 from .registry import decode_announcement
@@ -37,7 +38,8 @@
     except IbiswickError as error:
         print(f"{error.code}: {error}", file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
-    install_handler(program="ibiswick-node", stream=sys.stdout)
+    handler = BoundedHandler(descriptor=sys.stdout.fileno(), program="ibiswick-node")
+    handler.push_application()
     try:
         uvloop.run(_run(settings, path))
     except (OSError, IbiswickError) as error:
--- a/src/ibiswick/_internal/shared/logs.py
+++ b/src/ibiswick/_internal/shared/logs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any, TextIO
+from typing import Any
 
 import logbook
 
@@ -11,6 +11,12 @@
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@,+*"
 )
 
+# A format of logbook records, once the program is filled in.
+LINE_FORMAT = (
+    "time={{record.time:%Y-%m-%dT%H:%M:%S.%f}}Z level={{record.level_name}} "
+    "program={program} component={{record.channel}} {{record.message}}"
+)
+
 
 def format_pairs(event: str, **fields: Any) -> str:
     """Format an event as key=value pairs; values with other characters are quoted.
@@ -52,14 +58,9 @@
         self._logger.error(format_pairs(event, **fields))
 
 
-def install_handler(
-    *, level: str = "INFO", program: str = "ibiswick", stream: TextIO | None = None
-) -> logbook.Handler:
-    """Send log lines of this process to a stream, by default standard error."""
-    handler = logbook.StreamHandler(stream or sys.stderr, level=level.upper())
-    handler.format_string = (
-        "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
-        f"program={program} component={{record.channel}} {{record.message}}"
-    )
+def install_handler(*, level: str = "INFO", program: str = "ibiswick") -> logbook.Handler:
+    """Send log lines of this process to standard error."""
+    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    handler.format_string = LINE_FORMAT.format(program=program)
     handler.push_application()
     return handler
