Serve metrics of a node that reads the object API itself

Cause: only logs told what a node decided. Counters of calls, refusals, attempts and calls to the object API, latency histograms, and gauges on the port that deploy/system.toml names. Tested on whole nodes in virtual time.

--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from ..shared.metrics import define_counter
+from ..shared.metrics import define_counter, define_histogram
 
 _DOCS = {
     "ibiswick_calls_total": "Calls by what became of them on the caller port.",
@@ -15,6 +15,11 @@
     "ibiswick_hedges_total": "Hedged attempts by result.",
     "ibiswick_ejections_total": "Changes of endpoints between ejected and readmitted, by event.",
     "ibiswick_requests_rejected_total": "Malformed or unsupported requests by code.",
+    "ibiswick_platform_calls_total": "Calls to the object API by method and result.",
+}
+_LATENCY_DOCS = {
+    "ibiswick_call_seconds": "Time from the arrival of a call to its final answer, by result.",
+    "ibiswick_slot_wait_seconds": "Time that calls waited for a slot, by result.",
 }
 
 
@@ -30,6 +35,10 @@
         """Count one event."""
         self._counts[metric, label, value] += 1
 
+    def observe(self, metric: str, label: str, value: str, seconds: float) -> None:
+        """Add one duration to a histogram."""
+        define_histogram(metric, _LATENCY_DOCS[metric]).observe({label: value}, seconds)
+
     def get(self, metric: str, label: str, value: str) -> int:
         """Return one count."""
         return self._counts.get((metric, label, value), 0)
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -211,6 +211,7 @@
             send_answer(request, answer, [*self._add_load(own, claim.kind), wait])
             return
         started = self._clock()
+        self._counts.observe("ibiswick_slot_wait_seconds", "result", "admitted", started - arrived)
         reached = False
         try:
             reached = await self._forward(request, head, own, claim)
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -286,6 +286,9 @@
         else:
             attempt = await self._try_hedged(call, service, hedge_s)
         await self._finish(call, attempt, request)
+        result = "answered" if attempt.response is not None else attempt.outcome.value
+        elapsed_s = self._clock() - call.arrived
+        self._counts.observe("ibiswick_call_seconds", "result", result, elapsed_s)
 
     # Preparation
 
--- /dev/null
+++ b/src/ibiswick/_internal/direct/counted.py
@@ -0,0 +1,55 @@
+"""Count the calls to the object API."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from typing import Any, TypeVar
+
+from ..calls.callcounts import CallCounts
+from ..shared.errors import PlatformError
+from ..shared.objectapi import Listing, Platform, StoredObject
+
+METRIC = "ibiswick_platform_calls_total"
+
+T = TypeVar("T")
+
+
+class CountedPlatform:
+    """Pass calls on to another platform and count them by method and result."""
+
+    def __init__(self, *, platform: Platform, counts: CallCounts) -> None:
+        self._platform = platform
+        self._counts = counts
+
+    async def _count(self, method: str, call: Awaitable[T]) -> T:
+        try:
+            result = await call
+        except PlatformError as error:
+            self._counts.add(METRIC, "result", f"{method}:{error.code}")
+            raise
+        self._counts.add(METRIC, "result", f"{method}:ok")
+        return result
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object, or None when it is missing."""
+        return await self._count("get", self._platform.get(key))
+
+    async def put(self, key: str, value: Any, *, expected: int | None = None) -> int:
+        """Write one object and return its version."""
+        return await self._count("put", self._platform.put(key, value, expected=expected))
+
+    async def delete(self, key: str, *, expected: int | None = None) -> None:
+        """Delete one object; a missing one is no error."""
+        await self._count("delete", self._platform.delete(key, expected=expected))
+
+    async def list(
+        self, prefix: str, *, after: str = "", limit: int = 1000, reverse: bool = False
+    ) -> Listing:
+        """Return objects under a prefix in order of their keys."""
+        call = self._platform.list(prefix, after=after, limit=limit, reverse=reverse)
+        return await self._count("list", call)
+
+    async def watch(self, prefix: str, *, after: int, timeout_s: float) -> Listing:
+        """Wait for writes under a prefix newer than a revision."""
+        call = self._platform.watch(prefix, after=after, timeout_s=timeout_s)
+        return await self._count("watch", call)
--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 
 from ..shared.errors import HistoryLostError, PlatformError, PlatformUnavailableError
@@ -36,7 +37,10 @@
         apply: Callable[[Listing, bool], None],
         rng: random.Random,
         gather_s: float,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
+        self.answered_at = clock()
         self._platform = platform
         self._prefix = prefix
         self._apply = apply
@@ -91,3 +95,4 @@
         if not self.connected:
             _log.info("platform-regained", prefix=self._prefix, revision=listing.revision)
         self.connected = True
+        self.answered_at = self._clock()
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -18,8 +18,10 @@
 from ..shared.blackboard import Blackboard
 from ..shared.errors import InvalidInputError
 from ..shared.logs import EventLog
+from ..shared.metrics import define_gauge, render_metrics
 from ..shared.objectapi import Platform
 from ..shared.records import BackendHealth, Phase
+from .counted import CountedPlatform
 from .instances import Departure, Heartbeat, InstanceTable, Verdict
 from .plane import ConfigurationDecoder, DirectPlane
 from .settings import DirectSettings
@@ -103,7 +105,7 @@
         self.plane = DirectPlane(
             settings=settings,
             board=board,
-            platform=platform,
+            platform=CountedPlatform(platform=platform, counts=self.counts),
             pool=self._peers,
             configuration_key=configuration_key,
             decode=decode_configuration,
@@ -174,7 +176,13 @@
             host=settings.exchange.host,
             port=settings.exchange.port,
         )
+        self._operations = Listener(
+            handler=self._serve_operations,
+            host=settings.operations.host,
+            port=settings.operations.port,
+        )
         self._listeners = (
+            self._operations,
             self._registry,
             self._readiness,
             self._peer,
@@ -263,6 +271,44 @@
     async def _serve_readiness(self, request: ServerRequest) -> None:
         request.respond(200 if self.ready else 503, [], b"")
 
+    # Metrics
+
+    async def _serve_operations(self, request: ServerRequest) -> None:
+        if request.path != "/metrics":
+            request.respond(404, [], b"")
+            return
+        self.counts.export()
+        self._export_gauges()
+        body, headers = render_metrics()
+        pairs = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+        request.respond(200, pairs, body)
+
+    def _export_gauges(self) -> None:
+        queue = self._inbound.queue
+        snapshot = self.board.snapshot.value
+        gauges = {
+            "ibiswick_calls_in_flight": ("Calls in flight.", self.board.in_flight.value),
+            "ibiswick_slots": ("Slots of the backend server.", queue.slots),
+            "ibiswick_slots_busy": ("Slots in use.", queue.busy),
+            "ibiswick_slots_queued": ("Calls that wait for a slot.", queue.queued),
+            "ibiswick_ready": ("1 while callers may send calls here.", int(self.ready)),
+            "ibiswick_generation": (
+                "Generation of the configuration in effect.",
+                snapshot.generation if snapshot is not None else 0,
+            ),
+            "ibiswick_members": ("Nodes that are known.", self.board.fleet_size.value),
+            "ibiswick_configuration_heard_seconds": (
+                "Seconds since the object API last confirmed the configuration.",
+                self.plane.configuration_age_s,
+            ),
+            "ibiswick_members_heard_seconds": (
+                "Seconds since the object API last confirmed the members.",
+                self.plane.members_age_s,
+            ),
+        }
+        for name, (doc, value) in gauges.items():
+            define_gauge(name, doc).set({}, value)
+
     # Registry
 
     async def _serve_registry(self, request: ServerRequest) -> None:
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -108,6 +108,7 @@
             apply=self._apply_configuration,
             rng=self._rng,
             gather_s=CONFIGURATION_GATHER_S,
+            clock=clock,
         )
         self._members_follower = Follower(
             platform=platform,
@@ -115,6 +116,7 @@
             apply=self._apply_members,
             rng=self._rng,
             gather_s=MEMBERS_GATHER_S,
+            clock=clock,
         )
 
     async def start(self) -> None:
@@ -131,6 +133,16 @@
             )
         ]
 
+    @property
+    def configuration_age_s(self) -> float:
+        """Return the seconds since the object API last answered about the configuration."""
+        return self._clock() - self._configuration_follower.answered_at
+
+    @property
+    def members_age_s(self) -> float:
+        """Return the seconds since the object API last answered about the members."""
+        return self._clock() - self._members_follower.answered_at
+
     def cancel(self) -> None:
         """Cancel the controllers."""
         for task in self._tasks:
--- a/src/ibiswick/_internal/direct/settings.py
+++ b/src/ibiswick/_internal/direct/settings.py
@@ -11,9 +11,10 @@
     """Configure one node; times are in seconds.
 
     `registry` is where the backend server beside the node announces itself, `exchange` where other
-    nodes exchange members and configuration. `stop_grace_s` is the time between the signal to stop
-    and the kill. The retry figures hold for the whole fleet: extra attempts within
-    `retry_window_s` are at most `retry_ratio` of the calls and `retry_slack` more.
+    nodes exchange members and configuration, `operations` where the metrics are. `stop_grace_s` is
+    the time between the signal to stop and the kill. The retry figures hold for the whole fleet:
+    extra attempts within `retry_window_s` are at most `retry_ratio` of the calls and `retry_slack`
+    more.
     """
 
     vm: str
@@ -26,6 +27,7 @@
     registry: Address
     exchange: Address
     store: Address
+    operations: Address
     stop_grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
--- a/src/ibiswick/_internal/platform/settings.py
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -12,6 +12,8 @@
 
 # Names the settings file of a process.
 PATH_VARIABLE = "IBISWICK_NODE_FILE"
+# The settings name no port for metrics; deploy/system.toml names this one.
+METRICS_PORT = 9464
 
 
 def find_path() -> Path:
@@ -53,6 +55,7 @@
         registry=reader.read_address(listen, "listen_addrs.admin"),
         exchange=peer._replace(port=_read_first_port(reader, document)),
         store=reader.read_address(store, "platform.address"),
+        operations=peer._replace(port=METRICS_PORT),
         stop_grace_s=reader.read_seconds(bounds, "bounds.grace"),
         retry_ratio=reader.read_number(bounds, "bounds.retry_budget_ratio"),
         retry_window_s=reader.read_seconds(bounds, "bounds.budget_window"),
--- a/src/ibiswick/_internal/shared/metrics.py
+++ b/src/ibiswick/_internal/shared/metrics.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from aioprometheus import REGISTRY, Counter, Gauge
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram
 
 _counters: dict[str, Counter] = {}
 _gauges: dict[str, Gauge] = {}
+_histograms: dict[str, Histogram] = {}
+
+# Seconds; from calls that touch nothing to those that use a whole deadline.
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
 
 def define_counter(name: str, doc: str) -> Counter:
@@ -22,6 +26,13 @@
     return _gauges[name]
 
 
+def define_histogram(name: str, doc: str) -> Histogram:
+    """Return the latency histogram of a name, registered once for the process."""
+    if name not in _histograms:
+        _histograms[name] = Histogram(name, doc, buckets=list(LATENCY_BUCKETS_S))
+    return _histograms[name]
+
+
 def render_metrics(accept: str = "") -> tuple[bytes, dict[str, str]]:
     """Return the body and the headers of a scrape."""
     from aioprometheus.renderer import render
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -105,6 +105,7 @@
         registry=local,
         exchange=local,
         store=local,
+        operations=local,
         retry_slack=64.0,
     )
     return settings._replace(**changes)
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -249,3 +249,27 @@
         return early, sum(client.status == 200 for client in clients)
 
     assert run_mesh(scenario) == (None, 4)
+
+
+def test_metrics_tell_what_became_of_calls() -> None:
+    """Guard against a node whose refusals can't be counted from outside."""
+
+    async def scenario(mesh: DirectMesh) -> str:
+        await mesh.call(0, "/book/1/ok", "a1", method="POST")
+        await mesh.call(0, "/book/1/shed", "a2", method="POST")
+        client = await mesh.connect(mesh.nodes[0]._operations.port)
+        assert client is not None
+        client.transport.write(b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n")
+        await client.done
+        return client.body.decode()
+
+    text = run_mesh(scenario)
+    for name in (
+        'ibiswick_calls_total{result="answered"}',
+        'ibiswick_calls_total{result="not-run"}',
+        'ibiswick_call_seconds_bucket{le="0.1",result="answered"}',
+        'ibiswick_platform_calls_total{result="watch:ok"}',
+        "ibiswick_generation 12",
+        "ibiswick_members 4",
+    ):
+        assert name in text
