Let calls wait only if they will most probably meet their target

A call now gets its slot at the latest two mean durations before its target, or waits for 15% of the time to it, which keeps slots busy.

--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -13,9 +13,10 @@
 # Kinds of calls whose duration is remembered; a configuration has fewer kinds with traffic.
 MAX_KINDS = 256
 HIGHEST_PRIORITY = 0
-# One in so many slots may have a call waiting that will miss its target: they use the lulls, and an
-# overload that lasts refuses them.
-LATE_SHARE = 2
+# Calls of one kind differ: nine in ten last less than twice their mean.
+DURATION_MARGIN = 2.0
+# A call may wait for this part of the time to its target in any case, which keeps the slots busy.
+WAIT_SHARE = 0.15
 
 
 class Admitted(NamedTuple):
@@ -43,10 +44,10 @@
 class Claim(NamedTuple):
     """Say what a call needs of the slots; moments are in monotonic seconds.
 
-    A smaller `priority` goes first. A response after `target` is worth less: a call that can't meet
-    it waits behind all that can, and only a few of them wait. Calls of the highest priority are
-    exempt, since others may depend on them. `patience_s` is the longest wait that the caller
-    accepts.
+    A smaller `priority` goes first. A response after `target` is worth less, so a call waits only
+    as long as it will most probably meet it. Calls of the highest priority may wait up to their
+    deadline, since running calls may depend on them. `patience_s` is the longest wait that the
+    caller accepts.
     """
 
     deadline: float | None = None
@@ -57,9 +58,8 @@
 
 
 class _Waiting(NamedTuple):
-    """Order the queue: calls that meet their target first, then by priority, then by arrival."""
+    """Order the queue by priority, then by arrival."""
 
-    late: bool
     priority: int
     ticket: int
     until: float
@@ -106,35 +106,31 @@
         if self.busy < self.slots and not self._waiting:
             self._take_slot(now)
             return Admitted()
-        late = self._is_late(now, claim)
-        wait_s = self.estimate_wait(now=now, priority=claim.priority, late=late)
+        wait_s = self.estimate_wait(now=now, priority=claim.priority)
         if claim.patience_s is not None and wait_s > claim.patience_s:
             return Refused("busy", wait_s)
         until = self._find_limit(now, claim)
         earliest = now if claim.target is None else now + wait_s
         if until <= earliest:
             return Refused("deadline-near", wait_s)
-        if late and sum(waiting.late for waiting in self._waiting) >= self._late_limit:
+        if self._is_late(now + wait_s, now, claim):
             return Refused("late", wait_s)
         displaced = None
         if len(self._waiting) >= self._length_per_slot * self.slots:
-            displaced = self._displace(late, claim.priority)
+            displaced = self._displace(claim.priority)
             if displaced is None:
                 return Refused("queue-full", wait_s)
         self._next_ticket += 1
-        insort(self._waiting, _Waiting(late, claim.priority, self._next_ticket, until, claim))
+        insort(self._waiting, _Waiting(claim.priority, self._next_ticket, until, claim))
         return Queued(self._next_ticket, until, displaced)
 
-    @property
-    def _late_limit(self) -> int:
-        """Return how many calls may wait that will probably miss their target."""
-        return max(1, self.slots // LATE_SHARE)
-
-    def _is_late(self, now: float, claim: Claim) -> bool:
+    def _is_late(self, start: float, now: float, claim: Claim) -> bool:
+        """Tell whether a call that gets its slot at `start` may well miss its target."""
         if claim.target is None or claim.priority == HIGHEST_PRIORITY:
             return False
-        wait_s = self.estimate_wait(now=now, priority=claim.priority)
-        return now + wait_s + self.estimate_duration(claim.kind) > claim.target
+        duration_s = self.estimate_duration(claim.kind)
+        latest = claim.target - DURATION_MARGIN * duration_s
+        return start > max(latest, now + WAIT_SHARE * (claim.target - now))
 
     def _find_limit(self, now: float, claim: Claim) -> float:
         """Return the moment up to which a call may wait, by what is known of its kind now."""
@@ -145,9 +141,9 @@
             return min(until, claim.deadline)
         return min(until, claim.deadline - self.estimate_duration(claim.kind))
 
-    def _displace(self, late: bool, priority: int) -> int | None:
+    def _displace(self, priority: int) -> int | None:
         """Remove the least urgent call if it is less urgent than the new one."""
-        if not self._waiting or self._waiting[-1][:2] <= (late, priority):
+        if not self._waiting or self._waiting[-1].priority <= priority:
             return None
         return self._waiting.pop().ticket
 
@@ -228,9 +224,7 @@
         """Return the seconds that a call of a kind probably holds its slot."""
         return self._kinds.get(kind, self._duration_s)
 
-    def estimate_wait(
-        self, *, now: float, priority: int | None = None, late: bool = False
-    ) -> float:
+    def estimate_wait(self, *, now: float, priority: int | None = None) -> float:
         """Return the seconds until a new call would probably get a slot.
 
         Calls that have held their slots for longer than usual count, since they show a backend
@@ -238,7 +232,7 @@
         """
         ahead = len(self._waiting)
         if priority is not None:
-            ahead = sum(1 for waiting in self._waiting if waiting[:2] <= (late, priority))
+            ahead = sum(1 for waiting in self._waiting if waiting.priority <= priority)
         return (ahead + 1) * self._estimate_hold(now) / max(1, self.slots)
 
     def _estimate_hold(self, now: float) -> float:
