Keep repeats within the budget of services that are called, and spread calls over large fleets

A repeated run now costs three of the budget. Calls now go to the best of eight random endpoints, judged with the time that calls take besides their slot. Also: a large configuration is read once after a burst of versions, not each version.

--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -35,6 +35,9 @@
 MAX_KINDS = 256
 # Part of a duration by which full slots add to it, since many backend servers slow down near full.
 CROWDING = 0.3
+# Endpoints that are compared for one call; the best of a few random ones spreads the calls.
+CANDIDATES = 8
+OVERHEAD_WEIGHT = 0.2
 # Crossing availability zones costs latency and bytes; large bodies cost the more.
 REMOTE_FACTOR = 1.2
 REMOTE_FACTOR_LARGE = 3.0
@@ -63,6 +66,7 @@
         "latency_s",
         "load",
         "load_at",
+        "overhead_s",
     )
 
     def __init__(self, endpoint: Endpoint, *, first_seen: float) -> None:
@@ -78,6 +82,8 @@
         # Seconds that a call of a kind holds a slot, and when that was reported.
         self.durations: dict[str, tuple[float, float]] = {}
         self.failed_share = 0.0
+        # Seconds that calls take besides the slot: transfer and waits on the way.
+        self.overhead_s = 0.0
 
 
 class HealthChange(NamedTuple):
@@ -219,6 +225,8 @@
         states = next((group for group in groups if group), None)
         if states is None:
             return None
+        if len(states) > CANDIDATES:
+            states = self._sample(states, rng, large)
         factor = REMOTE_FACTOR_LARGE if large else REMOTE_FACTOR
 
         def estimate(state: EndpointState) -> tuple[float, float]:
@@ -228,6 +236,17 @@
 
         return min(states, key=estimate)
 
+    def _sample(
+        self, states: list[EndpointState], rng: random.Random, large: bool
+    ) -> list[EndpointState]:
+        """Return a few endpoints at random, so that nodes with the same knowledge differ."""
+        if large:
+            zone = self._availability_zone
+            local = [s for s in states if s.endpoint.availability_zone == zone]
+            if len(local) > 1:
+                states = local
+        return rng.sample(states, min(CANDIDATES, len(states)))
+
     def _estimate_completion(self, state: EndpointState, kind: str, now: float) -> float:
         """Return the seconds that a call would probably take there, failures included."""
         duration_s = self._estimate_duration(state, kind, now)
@@ -238,7 +257,8 @@
         waiting = max(0, load + 1 - slots)
         failed_share = state.failed_share if state.failed_share > FAILED_SHARE else 0.0
         crowding = CROWDING * min(load, slots) / slots
-        return duration_s * (1 + waiting / slots + crowding) / (1 - failed_share) ** 2
+        completion_s = state.overhead_s + duration_s * (1 + waiting / slots + crowding)
+        return completion_s / (1 - failed_share) ** 2
 
     def _estimate_duration(self, state: EndpointState, kind: str, now: float) -> float:
         typical_s = self._typical_durations.get(kind, INITIAL_LATENCY_S)
@@ -261,6 +281,10 @@
         typical_s += TYPICAL_DURATION_WEIGHT * (duration_s - typical_s)
         self._typical_durations[kind] = typical_s
 
+    def note_overhead(self, state: EndpointState, seconds: float) -> None:
+        """Note what a call took besides its slot."""
+        state.overhead_s += OVERHEAD_WEIGHT * (max(0.0, seconds) - state.overhead_s)
+
     def note_unreachable(
         self, state: EndpointState, *, now: float, reason: str
     ) -> HealthChange | None:
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -625,6 +625,8 @@
         load = attempt.head.load if attempt.head is not None else None
         if load is not None:
             balancer.note_report(state, load, call.route["id"], now=now)
+            if attempt.outcome is Outcome.RESPONSE and load.duration_ms is not None:
+                balancer.note_overhead(state, now - started - load.duration_ms / 1000)
         status = attempt.response.status if attempt.response is not None else 0
         if attempt.outcome is Outcome.RESPONSE and status not in FAILURE_STATUSES:
             balancer.note_success(state, latency_s=now - started)
--- a/src/ibiswick/_internal/calls/retries.py
+++ b/src/ibiswick/_internal/calls/retries.py
@@ -16,6 +16,8 @@
 BUDGET_REFILL_PER_S = 0.5
 BACKOFF_BASE_S = 0.002
 BACKOFF_LIMIT_S = 0.05
+# A call that runs again makes its own calls again, which count as repeats at the services called.
+RERUN_COST = 3.0
 # Returning callers are spread over at least this time, a few durations of typical calls.
 RETRY_SPREAD_S = 0.1
 # Sum of the latencies between the choice of an endpoint and the arrival at a backend server.
@@ -54,8 +56,8 @@
     def allows(self, *, now: float) -> bool:
         """Tell whether an extra attempt could be made."""
 
-    def take(self, *, now: float) -> bool:
-        """Take one extra attempt, if there is one left."""
+    def take(self, *, now: float, cost: float = 1.0) -> bool:
+        """Take one extra attempt of a cost, if so much is left."""
 
 
 class RetryWindow:
@@ -72,38 +74,42 @@
     True
     """
 
-    __slots__ = ("_calls", "_ratio", "_retries", "_slack", "_window_s")
+    __slots__ = ("_calls", "_ratio", "_retries", "_slack", "_spent", "_window_s")
 
     def __init__(self, *, ratio: float, window_s: float, slack: Callable[[], float]) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
         self._calls: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._retries: deque[tuple[float, float]] = deque()
+        self._spent = 0.0
 
     def note_call(self, *, now: float) -> None:
         """Count one call from a caller."""
         self._calls.append(now)
-        _drop_before(self._calls, now - self._window_s)
+        self._forget(now)
 
-    def allows(self, *, now: float) -> bool:
-        """Tell whether an extra attempt could be made."""
-        _drop_before(self._calls, now - self._window_s)
-        # An attempt may arrive later than it is counted here.
-        _drop_before(self._retries, now - self._window_s - ARRIVAL_MARGIN_S)
-        return len(self._retries) + 1 <= self._ratio * len(self._calls) + self._slack()
+    def allows(self, *, now: float, cost: float = 1.0) -> bool:
+        """Tell whether an extra attempt of a cost could be made."""
+        self._forget(now)
+        return self._spent + cost <= self._ratio * len(self._calls) + self._slack()
 
-    def take(self, *, now: float) -> bool:
-        """Take one extra attempt, if there is one left."""
-        if not self.allows(now=now):
+    def take(self, *, now: float, cost: float = 1.0) -> bool:
+        """Take one extra attempt of a cost, if so much is left."""
+        if not self.allows(now=now, cost=cost):
             return False
-        self._retries.append(now)
+        self._retries.append((now, cost))
+        self._spent += cost
         return True
 
-
-def _drop_before(moments: deque[float], limit: float) -> None:
-    while moments and moments[0] < limit:
-        moments.popleft()
+    def _forget(self, now: float) -> None:
+        """Drop what lies before the window."""
+        while self._calls and self._calls[0] < now - self._window_s:
+            self._calls.popleft()
+        # An attempt may arrive later than it is counted here.
+        limit = now - self._window_s - ARRIVAL_MARGIN_S
+        while self._retries and self._retries[0][0] < limit:
+            self._spent -= self._retries.popleft()[1]
 
 
 class RetryBudget:
@@ -130,8 +136,8 @@
         self._refill(now)
         return self._tokens >= 1.0
 
-    def take(self, *, now: float) -> bool:
-        """Take one token for an extra attempt, if there is one."""
+    def take(self, *, now: float, cost: float = 1.0) -> bool:
+        """Take one token for an extra attempt, if there is one; the cost does not matter."""
         if not self.allows(now=now):
             return False
         self._tokens -= 1.0
@@ -178,7 +184,8 @@
     delay_s = 0.0 if is_moved else compute_backoff(attempts=attempts, rng=rng)
     if remaining_s - delay_s <= MIN_ATTEMPT_S:
         return RetryDecision(False, 0.0, "deadline")
-    if not budget.take(now=now):
+    cost = 1.0 if outcome is Outcome.NOT_RUN else RERUN_COST
+    if not budget.take(now=now, cost=cost):
         return RetryDecision(False, 0.0, "budget-exhausted")
     return RetryDecision(True, delay_s, outcome.value)
 
--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -26,7 +26,8 @@
 
     `apply` gets each listing, and whether it is complete or holds only changes. A read that fails
     changes nothing: what has been applied stays until a newer listing replaces it. Changes are
-    collected for `gather_s` seconds before the next watch.
+    collected for `find_gather_s()` seconds before the next watch. If `find_large_key()` names an
+    object, it is read once after that time, since a watch would send each of its versions.
     """
 
     def __init__(
@@ -36,7 +37,8 @@
         prefix: str,
         apply: Callable[[Listing, bool], None],
         rng: random.Random,
-        gather_s: float,
+        find_gather_s: Callable[[], float],
+        find_large_key: Callable[[], str | None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._clock = clock
@@ -45,7 +47,8 @@
         self._prefix = prefix
         self._apply = apply
         self._rng = rng
-        self._gather_s = gather_s
+        self._find_gather_s = find_gather_s
+        self._find_large_key = find_large_key
         self._revision: int | None = None
         self.connected = False
 
@@ -77,9 +80,22 @@
             self._note_regained(listing)
             if listing.objects:
                 self._apply(listing, False)
-                await asyncio.sleep(self._gather_s)
+                await asyncio.sleep(self._find_gather_s())
+                self._revision = listing.revision
+                await self._skip_versions(listing.revision)
+                return
         self._revision = listing.revision
 
+    async def _skip_versions(self, revision: int) -> None:
+        """Read a large object once instead of every version since a revision."""
+        key = self._find_large_key()
+        if key is None:
+            return
+        found = await self._platform.get(key)
+        if found is not None and found.version > revision:
+            self._apply(Listing(found.version, (found,)), False)
+            self._revision = found.version
+
     def _find_delay(self, error: PlatformError) -> float:
         delay_s = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
         if isinstance(error, PlatformUnavailableError):
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -36,14 +36,14 @@
 # A backend server's own failures of idempotent calls that another one may answer better.
 RETRY_STATUSES = frozenset((500, 502, 503))
 # Share of the fleet's retry ratio that nodes use; calls made by repeated calls use the rest.
-RETRY_SHARE = 0.5
+RETRY_SHARE = 0.4
 # Targets and deadlines limit the wait for a slot; this only bounds the memory.
 QUEUE_LENGTH_PER_SLOT = 8
 UPLOAD_IDLE_S = 10.0
 PEER_IDLE_LIMIT_S = 20.0
 BACKEND_IDLE_LIMIT_S = 8.0
 # Several round trips; a path that is silent for longer has failed.
-UNACKNOWLEDGED_S = 0.6
+UNACKNOWLEDGED_S = 1.0
 # Callers learn from two failed readiness checks, a second apart, that the node stops.
 LINGER_S = 2.6
 # Left of the time to stop for closing connections.
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -36,7 +36,12 @@
 MEMBERS_PREFIX = "meshnodes/"
 # Changes of the configuration within this time are read by one call; they are due in 2 s.
 CONFIGURATION_GATHER_S = 0.8
+# The transfer of a large configuration over a slow link takes part of the time until it is due.
+LARGE_CONFIGURATION_GATHER_S = 1.2
+LARGE_ROUTES = 800
 MEMBERS_GATHER_S = 0.5
+SMALL_FLEET = 20
+MAX_MEMBERS_GATHER = 4.0
 # A node whose entry has vanished from the object API and does not come back within this time, and
 # that no other node has heard, is gone.
 MISSING_LIMIT_S = 3.0
@@ -107,7 +112,8 @@
             prefix=prefix,
             apply=self._apply_configuration,
             rng=self._rng,
-            gather_s=CONFIGURATION_GATHER_S,
+            find_gather_s=self._find_configuration_gather_s,
+            find_large_key=self._find_large_key,
             clock=clock,
         )
         self._members_follower = Follower(
@@ -115,7 +121,7 @@
             prefix=MEMBERS_PREFIX,
             apply=self._apply_members,
             rng=self._rng,
-            gather_s=MEMBERS_GATHER_S,
+            find_gather_s=self._find_members_gather_s,
             clock=clock,
         )
 
@@ -153,6 +159,21 @@
         self.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _find_configuration_gather_s(self) -> float:
+        large = self._find_large_key() is not None
+        return LARGE_CONFIGURATION_GATHER_S if large else CONFIGURATION_GATHER_S
+
+    def _find_large_key(self) -> str | None:
+        snapshot = self._board.snapshot.value
+        if snapshot is None or len(snapshot.routes) < LARGE_ROUTES:
+            return None
+        return self._key
+
+    def _find_members_gather_s(self) -> float:
+        """Return a longer time for more nodes: calls and bytes grow with their square."""
+        share = self._board.fleet_size.value / SMALL_FLEET
+        return MEMBERS_GATHER_S * min(MAX_MEMBERS_GATHER, max(1.0, share))
+
     # Configuration
 
     def _apply_configuration(self, listing: Listing, complete: bool) -> None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,7 +7,13 @@
 from ibiswick._internal.direct.instances import Heartbeat
 from ibiswick._internal.direct.members import NodeRecord
 from ibiswick._internal.direct.settings import DirectSettings
-from ibiswick._internal.shared.records import Member, MemberState, Route, ServicePolicy
+from ibiswick._internal.shared.records import (
+    Endpoint,
+    Member,
+    MemberState,
+    Route,
+    ServicePolicy,
+)
 from ibiswick._internal.shared.settings import Address
 
 
@@ -109,3 +115,17 @@
         retry_slack=64.0,
     )
     return settings._replace(**changes)
+
+
+def build_endpoint(**changes: Any) -> Endpoint:
+    """Build an endpoint that takes calls."""
+    endpoint = Endpoint(
+        vm="vm-1",
+        incarnation=1,
+        availability_zone="ege-bir",
+        host="127.0.0.1",
+        port=7001,
+        slots=6,
+        ready=True,
+    )
+    return endpoint._replace(**changes)
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ibiswick._internal.platform.configuration import CONFIGURATION_KEY
 from ibiswick._internal.shared.errors import ConflictError, NotSentError, ResponseLostError
 from ibiswick._internal.shared.objectapi import MUST_NOT_EXIST, FetchResponse
 from ibiswick._internal.standins.store import ObjectStore
@@ -22,6 +23,9 @@
     * `lose_answers`: so many of the next writes take effect without an answer.
     * `history_from`: watches from an earlier revision are answered 410.
     * `page`: objects in one page of a list.
+
+    A watch sends each version of an object, as many as there were; `versions_sent` counts those of
+    the configuration that were sent in any way.
     """
 
     def __init__(self, store: ObjectStore | None = None) -> None:
@@ -31,6 +35,7 @@
         self.lose_answers = 0
         self.history_from = 0
         self.page = 500
+        self.versions_sent = 0
         self.calls: list[tuple[str, str]] = []
         self._wake = asyncio.Event()
 
@@ -57,6 +62,7 @@
             return await self._watch(key, int(query["watch"]), int(query["wait_ms"]) / 1000)
         if "/" in key:
             found = self.store.get(key)
+            self.versions_sent += key == CONFIGURATION_KEY
             return self._answer(404, {}) if found is None else self._answer_object(key)
         return self._list(key, query.get("after", ""))
 
@@ -88,6 +94,10 @@
             except TimeoutError:
                 pass
             changes = self.store.list_changes(kind + "/", after=after)
+        if kind == CONFIGURATION_KEY.partition("/")[0]:
+            # Nothing but the configuration is written in the tests that count, so each revision
+            # is one of its versions.
+            self.versions_sent += max(0, changes.revision - after) if changes.objects else 0
         events = [
             {
                 "deleted": item.value is None,
--- a/tests/test_direct_plane.py
+++ b/tests/test_direct_plane.py
@@ -24,6 +24,7 @@
 from ibiswick._internal.direct.plane import MEMBERS_PREFIX
 from ibiswick._internal.platform.configuration import CONFIGURATION_KEY
 from ibiswick._internal.shared.errors import MessageError
+from platform_documents import build_configuration
 
 logbook.NullHandler().push_application()
 
@@ -236,3 +237,26 @@
 def test_a_malformed_record_is_no_member(change: dict[str, Any]) -> None:
     """Guard against members with fields of another type."""
     assert parse_record(build_node_record()._asdict() | change) is None
+
+
+def test_a_storm_of_large_configurations_is_not_read_version_by_version() -> None:
+    """Guard against slow links that carry every version of a large configuration."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], int]:
+        document = build_configuration()
+        rule = document["listeners"][0]["rules"][0]
+        document["listeners"][0]["rules"] += [
+            rule | {"name": f"r-{n}", "match": {"prefix": f"/idle-{n}/"}} for n in range(900)
+        ]
+        mesh.write_configuration("00000100", listeners=document["listeners"])
+        await asyncio.sleep(3)
+        sent = mesh.fetches[0].versions_sent
+        for number in range(30):
+            mesh.write_configuration(f"{0x101 + number:08x}", listeners=document["listeners"])
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(2)
+        return list_generations(mesh), mesh.fetches[0].versions_sent - sent
+
+    generations, sent = run_mesh(scenario)
+    assert generations == [0x11E] * 3
+    assert sent <= 12
