Receive bodies before their calls hold a slot, and judge the way by the time that nodes report

Time on the way is now the difference between the elapsed time and what the node says it spent; the mean duration instead of it added noise, and large bodies crossed zones for it.

--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -101,29 +101,38 @@
     ) -> Admitted | Queued | Refused:
         """Decide about a new call; without a claim only its deadline and the queue time count."""
         claim = claim or Claim(deadline)
-        if claim.deadline is not None and claim.deadline <= now:
-            return Refused("deadline", self.estimate_wait(now=now))
+        refused = self.check(now=now, claim=claim)
+        if refused is not None:
+            return refused
         if self.busy < self.slots and not self._waiting:
             self._take_slot(now)
             return Admitted()
-        wait_s = self.estimate_wait(now=now, priority=claim.priority)
-        if claim.patience_s is not None and wait_s > claim.patience_s:
-            return Refused("busy", wait_s)
-        until = self._find_limit(now, claim)
-        earliest = now if claim.target is None else now + wait_s
-        if until <= earliest:
-            return Refused("deadline-near", wait_s)
-        if self._is_late(now + wait_s, now, claim):
-            return Refused("late", wait_s)
         displaced = None
         if len(self._waiting) >= self._length_per_slot * self.slots:
             displaced = self._displace(claim.priority)
             if displaced is None:
-                return Refused("queue-full", wait_s)
+                return Refused("queue-full", self.estimate_wait(now=now))
         self._next_ticket += 1
+        until = self._find_limit(now, claim)
         insort(self._waiting, _Waiting(claim.priority, self._next_ticket, until, claim))
         return Queued(self._next_ticket, until, displaced)
 
+    def check(self, *, now: float, claim: Claim) -> Refused | None:
+        """Return why a call would be refused now, or None; nothing is changed."""
+        if claim.deadline is not None and claim.deadline <= now:
+            return Refused("deadline", self.estimate_wait(now=now))
+        if self.busy < self.slots and not self._waiting:
+            return None
+        wait_s = self.estimate_wait(now=now, priority=claim.priority)
+        if claim.patience_s is not None and wait_s > claim.patience_s:
+            return Refused("busy", wait_s)
+        earliest = now if claim.target is None else now + wait_s
+        if self._find_limit(now, claim) <= earliest:
+            return Refused("deadline-near", wait_s)
+        if self._is_late(now + wait_s, now, claim):
+            return Refused("late", wait_s)
+        return None
+
     def _is_late(self, start: float, now: float, claim: Claim) -> bool:
         """Tell whether a call that gets its slot at `start` may well miss its target."""
         if claim.target is None or claim.priority == HIGHEST_PRIORITY:
--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -35,8 +35,11 @@
 MAX_KINDS = 256
 # Part of a duration by which full slots add to it, since many backend servers slow down near full.
 CROWDING = 0.3
-# Endpoints that are compared for one call; the best of a few random ones spreads the calls.
-CANDIDATES = 8
+# Endpoints that are compared for one call where there are many: the best of a few random ones, most
+# of them in the same availability zone, spreads the calls. A small service is compared as a whole.
+SMALL_SERVICE = 13
+CANDIDATES = 5
+LOCAL_CANDIDATES = 3
 OVERHEAD_WEIGHT = 0.2
 # Crossing availability zones costs latency and bytes; large bodies cost the more.
 REMOTE_FACTOR = 1.2
@@ -225,8 +228,7 @@
         states = next((group for group in groups if group), None)
         if states is None:
             return None
-        if len(states) > CANDIDATES:
-            states = self._sample(states, rng, large)
+        states = self._sample(states, rng)
         factor = REMOTE_FACTOR_LARGE if large else REMOTE_FACTOR
 
         def estimate(state: EndpointState) -> tuple[float, float]:
@@ -236,16 +238,15 @@
 
         return min(states, key=estimate)
 
-    def _sample(
-        self, states: list[EndpointState], rng: random.Random, large: bool
-    ) -> list[EndpointState]:
+    def _sample(self, states: list[EndpointState], rng: random.Random) -> list[EndpointState]:
         """Return a few endpoints at random, so that nodes with the same knowledge differ."""
-        if large:
-            zone = self._availability_zone
-            local = [s for s in states if s.endpoint.availability_zone == zone]
-            if len(local) > 1:
-                states = local
-        return rng.sample(states, min(CANDIDATES, len(states)))
+        if len(states) <= SMALL_SERVICE:
+            return states
+        zone = self._availability_zone
+        local = [s for s in states if s.endpoint.availability_zone == zone]
+        remote = [s for s in states if s.endpoint.availability_zone != zone]
+        chosen = rng.sample(local, min(LOCAL_CANDIDATES, len(local)))
+        return chosen + rng.sample(remote, min(CANDIDATES - len(chosen), len(remote)))
 
     def _estimate_completion(self, state: EndpointState, kind: str, now: float) -> float:
         """Return the seconds that a call would probably take there, failures included."""
--- a/src/ibiswick/_internal/calls/bodies.py
+++ b/src/ibiswick/_internal/calls/bodies.py
@@ -11,14 +11,18 @@
 
 
 class RequestBody:
-    """Hold the body of one request; `whole` tells that `start` is all of it."""
+    """Hold the body of one request; `whole` tells that `start` is all of it.
 
-    __slots__ = ("_request", "_streamed", "start", "whole")
+    `received` tells that as much as may be kept has been read before it was due.
+    """
+
+    __slots__ = ("_request", "_streamed", "received", "start", "whole")
 
     def __init__(self, request: ServerRequest) -> None:
         self._request = request
         self.start = b""
         self.whole = True
+        self.received = False
         self._streamed = False
 
     @property
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -17,6 +17,8 @@
 TERMS = b"ibiswick-terms"
 # Milliseconds for which a refused call would probably have waited.
 WAIT = b"ibiswick-wait-ms"
+# Milliseconds that a call spent at the node that answers, its time at the backend server included.
+SPENT = b"ibiswick-spent-ms"
 OWN_PREFIX = b"ibiswick-"
 
 OUTCOME_NOT_RUN = b"not-run"
@@ -268,12 +270,13 @@
     signed: bool = False
     not_run: bool = False
     wait_ms: int | None = None
+    spent_ms: int | None = None
 
 
 def read_response_head(headers: Headers, status: int, names: WireNames = NO_NAMES) -> ResponseHead:
     """Sort the headers of a response in one pass."""
     outcome = attempt = b""
-    load = wait_ms = None
+    load = wait_ms = spent_ms = None
     signed = not_run = False
     passed = []
     dropped = _HOP_BY_HOP
@@ -293,13 +296,15 @@
                 not_run = True
             elif name == WAIT:
                 wait_ms = parse_milliseconds(value)
+            elif name == SPENT:
+                spent_ms = parse_milliseconds(value)
             elif name == OUTCOME:
                 outcome = value
             elif name == LOAD:
                 load = parse_load(value)
         elif name != b"content-length" or status not in (204, 304):
             passed.append(item)
-    return ResponseHead(passed, outcome, load, attempt, signed, not_run, wait_ms)
+    return ResponseHead(passed, outcome, load, attempt, signed, not_run, wait_ms, spent_ms)
 
 
 def write_framing(head: RequestHead, body: RequestBody) -> bytes:
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -32,6 +32,7 @@
     NO_NAMES,
     OUTCOME,
     OUTCOME_NOT_RUN,
+    SPENT,
     WAIT,
     Load,
     RequestHead,
@@ -69,10 +70,12 @@
 
     With `needs_instance`, calls are refused until a backend server has announced itself, and
     its slots and service count. `queue_s` of None leaves the wait to targets and deadlines.
-    Responses up to `buffer_bytes` are passed on only when they are complete.
+    Responses up to `buffer_bytes` are passed on only when they are complete. With `receives_first`,
+    a large body is received before its call waits for a slot.
     """
 
     names: WireNames = NO_NAMES
+    receives_first: bool = False
     needs_instance: bool = False
     queue_s: float | None = DEFAULT_QUEUE_S
     length_per_slot: int = QUEUE_LENGTH_PER_SLOT
@@ -199,7 +202,10 @@
         arrived = self._clock()
         deadline = None if head.deadline_ms is None else arrived + head.deadline_ms / 1000
         claim = build_claim(head, now=arrived, deadline=deadline)
-        refused = await self._acquire(arrived, claim)
+        body = RequestBody(request)
+        refused = await self._receive(body, head, claim)
+        if refused is None:
+            refused = await self._acquire(self._clock(), claim)
         if refused is not None:
             self._counts.add("ibiswick_refused_total", "reason", refused.reason)
             self._counts.add("ibiswick_peer_calls_total", "result", "not-run")
@@ -214,7 +220,7 @@
         self._counts.observe("ibiswick_slot_wait_seconds", "result", "admitted", started - arrived)
         reached = False
         try:
-            reached = await self._forward(request, head, own, claim)
+            reached = await self._forward(request, body, head, own, claim, arrived)
         finally:
             now = self._clock()
             tickets = self._queue.release(
@@ -254,6 +260,26 @@
 
     # Slots
 
+    async def _receive(self, body: RequestBody, head: RequestHead, claim: Claim) -> Refused | None:
+        """Receive a body before its call takes a slot, unless the call would be refused anyway.
+
+        Otherwise a body that comes over a slow link keeps a slot from other calls.
+        """
+        if not self._policy.receives_first or not head.expects_continue:
+            return None
+        now = self._clock()
+        refused = self._queue.check(now=now, claim=claim)
+        if refused is not None:
+            return refused
+        limit_s = self._upload_idle_s if claim.deadline is None else claim.deadline - now
+        try:
+            async with asyncio.timeout(limit_s):
+                await body.read_start(limit=self._policy.buffer_bytes)
+        except TimeoutError:
+            return Refused("body-late", 0.0)
+        body.received = True
+        return None
+
     async def _acquire(self, now: float, claim: Claim) -> Refused | None:
         """Wait for a slot; return None once there is one."""
         decision = self._queue.offer(now=now, claim=claim)
@@ -315,14 +341,17 @@
     async def _forward(
         self,
         request: ServerRequest,
+        body: RequestBody,
         head: RequestHead,
         own: Headers,
         claim: Claim,
+        arrived: float,
     ) -> bool:
         """Forward a call; return whether the backend server answered it."""
         deadline = claim.deadline
-        body = RequestBody(request)
-        if head.expects_continue:
+        if body.received:
+            pass
+        elif head.expects_continue:
             # The other node sends the body once it is read, which is when there is a connection.
             body.whole = False
         elif not body.take_start() and not await self._read_start(body, deadline):
@@ -349,7 +378,7 @@
             answer = await self._judge(response, passed)
             if answer is None:
                 self._note_result(response.status >= 500)
-                await self._pass(request, response, passed, own, claim.kind)
+                await self._pass(request, response, passed, own, claim.kind, arrived)
                 return True
         except NotSentError as error:
             if deadline is None or deadline - self._clock() > MIN_CONNECT_S:
@@ -402,12 +431,14 @@
         passed: ResponseHead,
         own: Headers,
         kind: str,
+        arrived: float,
     ) -> None:
         """Pass a response on; raise ResponseLostError when it breaks off before it is begun."""
         self._watcher.note_connect_success()
         if self._policy.buffer_bytes and request.method != "HEAD":
             body = await read_whole(response, limit=self._policy.buffer_bytes)
-            headers = passed.headers + self._add_load(own, kind)
+            spent_ms = int((self._clock() - arrived) * 1000)
+            headers = passed.headers + self._add_load(own, kind) + [(SPENT, b"%d" % spent_ms)]
             request.respond(response.status, headers, body)
             self._counts.add("ibiswick_peer_calls_total", "result", "answered")
             return
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -23,7 +23,7 @@
     pass_response,
     send_answer,
 )
-from .balance import Balancer, EndpointState, HealthChange
+from .balance import SMALL_SERVICE, Balancer, EndpointState, HealthChange
 from .bodies import MAX_REPLAY_BYTES, RequestBody
 from .callcounts import CallCounts
 from .heads import (
@@ -92,8 +92,9 @@
 
     `build_budget` builds the retry budget of a service from the present moment. Idempotent calls
     are tried again after a response with one of `retry_statuses`. `polls` is how many nodes are
-    asked for a slot without waiting before a call waits for one; a node that refuses counts neither
-    as an attempt nor against the budget. Responses up to `buffer_bytes` are passed on only when
+    asked for a slot without waiting before a call waits for one, `polls_of_many` the same for a
+    service with many endpoints; a node that refuses counts neither as an attempt nor against the
+    budget. Responses up to `buffer_bytes` are passed on only when
     they are complete. `serves_draining` keeps serving callers until the node stops, and
     `fractions` gives `Retry-After` in fractions of a second. With `divides_deadline`, an attempt of
     an idempotent call is given up early enough for the others. With `needs_slash`, a path that ends
@@ -104,6 +105,7 @@
     build_budget: Callable[[float], Budget] = lambda now: RetryBudget(now=now)
     retry_statuses: frozenset[int] = frozenset()
     polls: int = 0
+    polls_of_many: int = 0
     buffer_bytes: int = 0
     serves_draining: bool = False
     fractions: bool = False
@@ -338,9 +340,13 @@
             body=body,
             arrived=now,
             deadline=deadline,
-            polls=self._policy.polls,
+            polls=self._count_polls(service),
         )
 
+    def _count_polls(self, service: ServiceState) -> int:
+        is_small = len(service.balancer.states) <= SMALL_SERVICE
+        return self._policy.polls if is_small else self._policy.polls_of_many
+
     def _refresh(self) -> None:
         """Take over a new snapshot or new endpoints."""
         snapshot = self._board.snapshot.value
@@ -625,8 +631,8 @@
         load = attempt.head.load if attempt.head is not None else None
         if load is not None:
             balancer.note_report(state, load, call.route["id"], now=now)
-            if attempt.outcome is Outcome.RESPONSE and load.duration_ms is not None:
-                balancer.note_overhead(state, now - started - load.duration_ms / 1000)
+            if attempt.head is not None and attempt.head.spent_ms is not None:
+                balancer.note_overhead(state, now - started - attempt.head.spent_ms / 1000)
         status = attempt.response.status if attempt.response is not None else 0
         if attempt.outcome is Outcome.RESPONSE and status not in FAILURE_STATUSES:
             balancer.note_success(state, latency_s=now - started)
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -31,6 +31,8 @@
 PIPELINE_LIMIT = 16
 # Nodes that are asked for a slot without waiting before a call waits for one.
 POLLS = 3
+# With many nodes, what is known of each is older, and the next one is free more probably.
+POLLS_OF_MANY = 5
 # Responses up to this size are held until they are complete, so that a failure can be told.
 BUFFER_BYTES = 8 * 1024 * 1024
 # A backend server's own failures of idempotent calls that another one may answer better.
@@ -127,6 +129,7 @@
                 build_budget=self._build_budget,
                 retry_statuses=RETRY_STATUSES,
                 polls=POLLS,
+                polls_of_many=POLLS_OF_MANY,
                 buffer_bytes=BUFFER_BYTES,
                 serves_draining=True,
                 fractions=True,
@@ -148,6 +151,7 @@
             clock=clock,
             policy=AdmissionPolicy(
                 names=names,
+                receives_first=True,
                 needs_instance=True,
                 queue_s=None,
                 length_per_slot=QUEUE_LENGTH_PER_SLOT,
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -273,3 +273,26 @@
         "ibiswick_members 4",
     ):
         assert name in text
+
+
+def test_a_body_that_comes_slowly_holds_no_slot() -> None:
+    """Guard against uploads over slow links that keep the slots from other calls."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], int]:
+        port = mesh.nodes[0].settings.caller.port
+        uploads = []
+        for number in range(10):
+            client = await mesh.connect(port)
+            assert client is not None
+            head = build_request("/upload/1/ok", f"u{number}", method="POST", body=b"x" * 200_000)
+            client.transport.write(head[:100_000])
+            uploads.append((client, head[100_000:]))
+        await asyncio.sleep(0.3)
+        status = (await mesh.call(0, "/upload/1/ok", "other", method="POST", body=b"x")).status
+        for client, rest in uploads:
+            client.transport.write(rest)
+            await asyncio.sleep(0.03)
+        await asyncio.gather(*(client.done for client, _ in uploads))
+        return [client.status for client, _ in uploads], status
+
+    assert run_mesh(scenario) == ([200] * 10, 200)
