Log what decided about a call on both nodes, and gather it with ibiswickctl explain

Cause: a failed call left one line on the caller's node, without the load that refused it. Tests cause a refusal by full slots, a lost answer and a call to a backend server that has left, and find each cause from the logs alone.

--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -45,7 +45,7 @@
     write_framing,
 )
 from .pool import Exchange, ExchangeResponse, Headers, Limits, Remote, Request, read_whole
-from .serving import AbortResponseError, ServerRequest
+from .serving import AbortResponseError, ServerRequest, read_problem_detail
 
 ALIVE_WITHIN_S = 1.0
 RETRY_AFTER_DRAINING_S = 1.0
@@ -193,6 +193,14 @@
         if not reason:
             return None
         self._counts.add("ibiswick_refused_total", "reason", reason)
+        _log.info(
+            "call-turned-away",
+            id=head.attempt.decode("latin-1") or "-",
+            reason=reason,
+            asked=head.service.decode("latin-1") or "-",
+            instance=instance.instance if instance is not None else "-",
+            phase=self._board.phase.value.value,
+        )
         return build_not_run(
             f"refused by the node: {reason}", retry_after_s=RETRY_AFTER_DRAINING_S, fractions=True
         )
@@ -209,6 +217,7 @@
         if refused is not None:
             self._counts.add("ibiswick_refused_total", "reason", refused.reason)
             self._counts.add("ibiswick_peer_calls_total", "result", "not-run")
+            self._log_refusal(head, claim, refused)
             detail = f"no free slot: {refused.reason}"
             answer = build_not_run(
                 detail, retry_after_s=refused.retry_after_s, fractions=bool(self._names.attempt)
@@ -389,6 +398,7 @@
         except ResponseLostError as error:
             answer = build_unknown(str(error), timed_out=False)
         self._note_result(True)
+        self._log_outcome(head, answer)
         self._counts.add("ibiswick_peer_calls_total", "result", answer.code)
         send_answer(request, answer, self._add_load(own, claim.kind))
         return answer.status == 504
@@ -414,6 +424,38 @@
             return build_unknown(detail, timed_out=False)
         return None
 
+    def _log_refusal(self, head: RequestHead, claim: Claim, refused: Refused) -> None:
+        """Log why a call got no slot; a caller that asks several nodes is told by its own node."""
+        if claim.patience_s is not None:
+            return
+        queue = self._queue
+        _log.info(
+            "call-not-admitted",
+            id=head.attempt.decode("latin-1") or "-",
+            reason=refused.reason,
+            kind=claim.kind or "-",
+            priority=claim.priority,
+            busy=queue.busy,
+            queued=queue.queued,
+            slots=queue.slots,
+            wait_ms=int(refused.retry_after_s * 1000),
+            duration_ms=int(queue.estimate_duration(claim.kind) * 1000),
+            deadline_ms="-" if head.deadline_ms is None else head.deadline_ms,
+        )
+
+    def _log_outcome(self, head: RequestHead, answer: Answer) -> None:
+        """Log a call that the backend server got and has not answered well."""
+        _log.info(
+            "call-not-answered",
+            id=head.attempt.decode("latin-1") or "-",
+            status=answer.status,
+            code=answer.code,
+            detail=read_problem_detail(answer.body),
+            instance=self._instance.instance if self._instance is not None else "-",
+            busy=self._queue.busy,
+            slots=self._queue.slots,
+        )
+
     async def _read_start(self, body: RequestBody, deadline: float | None) -> bool:
         """Read a body up to the size that is sent at once; return False when it is late."""
         limit_s = self._upload_idle_s if deadline is None else deadline - self._clock()
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -271,7 +271,15 @@
         call = await self._prepare(request)
         if isinstance(call, Answer):
             self._counts.add("ibiswick_calls_total", "result", call.code)
-            _log.info("call-refused", code=call.code, path=request.path)
+            head = read_request_head(request.headers, self._names)
+            _log.info(
+                "call-refused",
+                id=head.attempt.decode("latin-1") or "-",
+                code=call.code,
+                host=normalize_host(head.host),
+                path=request.path,
+                generation=self._snapshot.generation if self._snapshot else 0,
+            )
             send_answer(request, call)
             return
         if self._names.attempt and not call.route["idempotent"]:
--- a/src/ibiswick/_internal/commands/ctl.py
+++ b/src/ibiswick/_internal/commands/ctl.py
@@ -12,6 +12,7 @@
 from .ctl_audit import audit
 from .ctl_diff import diff
 from .ctl_drain import drain
+from .ctl_explain import explain
 from .ctl_history import history
 from .ctl_nodes import nodes
 from .ctl_rollback import rollback
@@ -31,6 +32,7 @@
     nodes,
     drain,
     rollback,
+    explain,
 )
 
 app = cyclopts.App(name="ibiswickctl", help=__doc__, help_format="plaintext", version_flags=())
--- a/src/ibiswick/_internal/commands/ctl_support.py
+++ b/src/ibiswick/_internal/commands/ctl_support.py
@@ -20,7 +20,7 @@
 
 
 class ExitCode(IntEnum):
-    """Exit codes; docs/operations.md explains them."""
+    """Exit codes; docs/OPERATIONS.md explains them."""
 
     OK = 0
     REFUSED = 1
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,112 @@
+"""Find the cause of failed calls from the logs alone."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import logbook
+import pytest
+
+from call_network import VirtualLoop, run_virtual
+from direct_network import DirectMesh
+from ibiswick._internal.commands.ctl_explain import explain
+from ibiswick._internal.direct.members import NodeRecord
+
+SERVICES = ["counter", "counter", "archive"]
+
+
+def run_logged(scenario: Any, path: Path) -> None:
+    """Run a scenario on a mesh and write the log lines of all nodes to a file."""
+
+    async def main(loop: VirtualLoop) -> None:
+        mesh = DirectMesh(loop, SERVICES)
+        await mesh.start()
+        await scenario(mesh)
+
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        run_virtual(main)
+    lines = [f"time={record.time.isoformat()} {record.message}" for record in handler.records]
+    path.write_text("\n".join(lines) + "\n")
+
+
+def read_explanation(call_id: str, path: Path, capsys: pytest.CaptureFixture[str]) -> str:
+    assert explain(call_id, path) == 0
+    return capsys.readouterr().out
+
+
+def test_a_refusal_tells_who_had_no_room(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against a refusal, though room seemed free, that can't be told from a fault."""
+
+    async def scenario(mesh: DirectMesh) -> None:
+        for backend in mesh.backends:
+            backend.work_s = 0.5
+        # The nodes learn how long a call lasts before their slots are all taken.
+        for name, count in (("first", 2), ("busy", 20)):
+            calls = [mesh.call(0, "/book/1/ok", f"{name}{n}", method="POST") for n in range(count)]
+            tasks = [asyncio.create_task(call) for call in calls]
+            await asyncio.sleep(0.6 if name == "first" else 0.1)
+        await mesh.call(1, "/book/1/ok", "refused1", method="POST")
+        await asyncio.gather(*tasks)
+
+    run_logged(scenario, tmp_path / "log")
+    text = read_explanation("refused1", tmp_path / "log", capsys)
+    assert "event=call-not-admitted" in text
+    assert "busy=6" in text
+    assert "slots=6" in text
+    assert "event=call-failed" in text
+    assert "status=503" in text
+    assert "tried=vm-" in text
+
+
+def test_a_lost_answer_is_told_from_a_call_that_did_not_run(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against a call that ran, whose answer was lost and whose cause is not found."""
+
+    async def scenario(mesh: DirectMesh) -> None:
+        await mesh.call(0, "/book/1/crash", "lost1", method="POST")
+
+    run_logged(scenario, tmp_path / "log")
+    text = read_explanation("lost1", tmp_path / "log", capsys)
+    assert "event=call-not-answered" in text
+    assert "instance=i-" in text
+    assert "the connection was lost" in text
+    assert "status=502" in text
+    assert "outcome=lost" in text
+
+
+def test_a_call_to_a_backend_server_that_left_names_it(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against a stale list of members that nobody can see in the logs."""
+
+    async def scenario(mesh: DirectMesh) -> None:
+        def keep(records: list[NodeRecord], *, source: str) -> None:
+            """Ignore what other nodes say, as if every message were lost."""
+
+        plane: Any = mesh.nodes[2].plane
+        plane._merge = keep
+        for index in (0, 1):
+            await mesh.announce(index, "deregister", {})
+        await mesh.call(2, "/book/1/ok", "left1", method="POST")
+
+    run_logged(scenario, tmp_path / "log")
+    text = read_explanation("left1", tmp_path / "log", capsys)
+    assert "event=call-turned-away" in text
+    assert "reason=leaving" in text
+    assert "instance=i-" in text
+    assert 'detail="refused by the node: leaving"' in text
+
+
+def test_a_call_without_lines_is_said_to_have_none(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against taking an empty answer for a call that went well."""
+    (tmp_path / "log").write_text("time=1 event=call-failed id=other\nnot a line of pairs\n")
+    assert explain("mine", tmp_path / "log") == 1
+    assert "no line names the call mine" in capsys.readouterr().err
