--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -12,7 +12,6 @@
 INITIAL_DURATION_S = 0.02
 # Kinds of calls whose duration is remembered; a configuration has fewer kinds with traffic.
 MAX_KINDS = 256
-HIGHEST_PRIORITY = 0
 # Calls of one kind differ: nine in ten last less than twice their mean.
 DURATION_MARGIN = 2.0
 # A call may wait for this part of the time to its target in any case, which keeps the slots busy.
@@ -45,9 +44,8 @@
     """Say what a call needs of the slots; moments are in monotonic seconds.
 
     A smaller `priority` goes first. A response after `target` is worth less, so a call waits only
-    as long as it will most probably meet it. Calls of the highest priority may wait up to their
-    deadline, since running calls may depend on them. `patience_s` is the longest wait that the
-    caller accepts.
+    as long as it will most probably meet it; without a target it may wait up to its deadline.
+    `patience_s` is the longest wait that the caller accepts.
     """
 
     deadline: float | None = None
@@ -126,7 +124,7 @@
         wait_s = self.estimate_wait(now=now, priority=claim.priority)
         if claim.patience_s is not None and wait_s > claim.patience_s:
             return Refused("busy", wait_s)
-        earliest = now if claim.target is None else now + wait_s
+        earliest = now + wait_s if claim.kind else now
         if self._find_limit(now, claim) <= earliest:
             return Refused("deadline-near", wait_s)
         if self._is_late(now + wait_s, now, claim):
@@ -135,7 +133,7 @@
 
     def _is_late(self, start: float, now: float, claim: Claim) -> bool:
         """Tell whether a call that gets its slot at `start` may well miss its target."""
-        if claim.target is None or claim.priority == HIGHEST_PRIORITY:
+        if claim.target is None:
             return False
         duration_s = self.estimate_duration(claim.kind)
         latest = claim.target - DURATION_MARGIN * duration_s
@@ -146,7 +144,7 @@
         until = math.inf if self.queue_s is None else now + self.queue_s
         if claim.deadline is None:
             return until
-        if claim.target is None:
+        if not claim.kind:
             return min(until, claim.deadline)
         return min(until, claim.deadline - self.estimate_duration(claim.kind))
 
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -14,7 +14,6 @@
 from ..shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
 from ..shared.logs import EventLog
 from ..shared.records import Phase, Route, ServicePolicy, Snapshot
-from .admission import HIGHEST_PRIORITY
 from .answers import (
     Answer,
     build_answer,
@@ -625,17 +624,21 @@
         if target_ms is not None:
             target_ms = max(0, target_ms - int((now - call.arrived) * 1000))
         patience_ms = POLL_PATIENCE_MS if call.polls > 0 else None
-        priority = route.get("priority", HIGHEST_PRIORITY)
-        if self._is_made_by_running_call(call):
-            # Without it the work that its caller has done so far would be lost.
-            priority = HIGHEST_PRIORITY
+        priority = route.get("priority", 0)
+        parent_priority = self._find_parent_priority(call)
+        if parent_priority is not None:
+            # The call is as urgent as the running call that makes it, and late is better than
+            # never: without it the work done so far is lost.
+            priority = max(priority, parent_priority)
+            target_ms = None
         return Terms(route["id"], priority, target_ms, patience_ms)
 
-    def _is_made_by_running_call(self, call: Call) -> bool:
+    def _find_parent_priority(self, call: Call) -> int | None:
+        """Return the priority of the running call that makes a call, None for a caller's call."""
         separator = self._names.child_separator
         if not separator or separator not in call.head.attempt:
-            return False
-        return call.head.attempt.rpartition(separator)[0] in self._board.running
+            return None
+        return self._board.running.get(call.head.attempt.rpartition(separator)[0])
 
     def _note_outcome(
         self,
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -67,8 +67,9 @@
         self.caller_limits: Cell[CallerLimits] = Cell(CallerLimits())
         # Set where backend servers announce themselves to their node.
         self.instance: Cell[LocalInstance | None] = Cell(None)
-        # Ids of the calls at the local backend server; written where calls get their slots.
-        self.running: set[bytes] = set()
+        # Priorities of the calls at the local backend server by their ids; written where calls get
+        # their slots.
+        self.running: dict[bytes, int] = {}
         # Nodes that share limits which hold for the whole fleet, this one included.
         self.fleet_size: Cell[int] = Cell(1)
         self.phase: Cell[Phase] = Cell(Phase.STARTING)
