--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -217,11 +217,13 @@
     ) -> EndpointState | None:
         """Choose the endpoint that will probably complete a call of a kind first.
 
-        One in `exclude`, or one that was set aside, is chosen only if there is no other.
+        One in `exclude` is chosen only if there is no other, and one that was set aside only if all
+        are.
         """
         known = self._states.values()
         groups = (
             [s for s in known if s not in self._ejected and s not in exclude],
+            [s for s in known if s not in self._ejected],
             [s for s in known if s not in exclude],
             list(known),
         )
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -381,7 +381,7 @@
 
     def _log_health(self, change: HealthChange) -> None:
         self._counts.add("ibiswick_ejections_total", "event", change.event)
-        _log.debug(
+        _log.info(
             change.event,
             vm=change.endpoint.vm,
             reason=change.reason,
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -114,3 +114,17 @@
     balancer.states[1].in_flight = 3
     state = balancer.choose_fastest(kind="read", now=30.0, rng=random.Random(1))
     assert state is slow
+
+
+def test_a_busy_endpoint_is_asked_again_before_one_that_leaves() -> None:
+    """Guard against calls that spend their last polls on a node which takes none.
+
+    Seen in incident inc-07b8: the two endpoints of a service, one of them leaving, in turns.
+    """
+    balancer = build_balancer(2, local=2)
+    leaving, busy = balancer.states
+    balancer.note_unreachable(leaving, now=0.0, reason="leaving")
+    chosen = balancer.choose_fastest(
+        kind="read", now=0.1, rng=random.Random(1), exclude=(leaving, busy)
+    )
+    assert chosen is busy
