--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -168,7 +168,7 @@
         if head.trailers:
             return build_answer(501, "trailers-unsupported", "trailers are not supported")
         if self._policy.needs_instance:
-            return self._check_instance(head)
+            return self._check_instance(head, waited=False)
         if head.service and head.service != self._service:
             self._counts.add("ibiswick_refused_total", "reason", "service")
             detail = "this node serves another service"
@@ -178,11 +178,16 @@
             return build_not_run("this node drains", retry_after_s=RETRY_AFTER_DRAINING_S)
         return None
 
-    def _check_instance(self, head: RequestHead) -> Answer | None:
-        """Return a refusal unless the backend server that announced itself takes the call."""
+    def _check_instance(self, head: RequestHead, *, waited: bool) -> Answer | None:
+        """Return a refusal unless the backend server that announced itself takes the call.
+
+        A node that drains still serves the calls that have waited for a slot.
+        """
+        if not self._policy.needs_instance:
+            return None
         instance = self._board.instance.value
         reason = ""
-        if self._board.phase.value in (Phase.DRAINING, Phase.STOPPED):
+        if not waited and self._board.phase.value in (Phase.DRAINING, Phase.STOPPED):
             reason = "draining"
         elif instance is None:
             reason = "unannounced"
@@ -225,6 +230,12 @@
             wait = (WAIT, b"%d" % int(refused.retry_after_s * 1000))
             send_answer(request, answer, [*self._add_load(own, claim.kind), wait])
             return
+        turned_away = self._check_instance(head, waited=True)
+        if turned_away is not None:
+            # The backend server has begun to leave, or was replaced, while the call waited.
+            self._grant(self._queue.release(now=self._clock(), reached=False))
+            send_answer(request, turned_away, self._add_load(own))
+            return
         started = self._clock()
         self._counts.observe("ibiswick_slot_wait_seconds", "result", "admitted", started - arrived)
         reached = False
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -142,6 +142,7 @@
         "attempts",
         "body",
         "deadline",
+        "failure",
         "head",
         "maybe_ran",
         "method",
@@ -174,6 +175,8 @@
         self.arrived = arrived
         # How many more nodes may be asked for a slot, and the waits that those asked so far named.
         self.polls = polls
+        # A failure that a backend server reported, while another attempt may do better.
+        self.failure: Attempt | None = None
         self.refusals: list[tuple[float, EndpointState]] = []
         self.method = method
         self.target = target
@@ -396,10 +399,13 @@
             attempt = await self._try_once(call, service)
             if attempt.outcome is Outcome.RESPONSE and not self._is_repeatable(call, attempt):
                 return attempt
+            if attempt.outcome is Outcome.RESPONSE:
+                call.failure = attempt
             if self._may_ask_elsewhere(call, attempt):
                 continue
             if not await self._may_repeat(call, service, attempt):
-                return attempt
+                # The call has run if any attempt has, so "not run" would be untrue.
+                return call.failure or attempt
 
     def _is_repeatable(self, call: Call, attempt: Attempt) -> bool:
         """Tell whether a response may be replaced by that of another attempt."""
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -33,9 +33,14 @@
 
     The last part of a path is a behaviour: `ok`, `slow`, `shed`, `fail`, `unsigned`, `crash`,
     `unframed`, `cut-unframed`, `extra`, or `late-extra`, which answers a second time later.
+    `fail-then-shed` fails a call that has not run on any of the backend servers that share `ran`,
+    and sheds it after that.
     """
 
-    def __init__(self, loop: VirtualLoop, *, instance: str, service: str) -> None:
+    def __init__(
+        self, loop: VirtualLoop, *, instance: str, service: str, ran: set[str] | None = None
+    ) -> None:
+        self.ran = ran if ran is not None else set()
         self.loop = loop
         self.instance = instance
         self.service = service
@@ -95,6 +100,9 @@
         if headers.get("ibiswick-expected-instance") != server.instance:
             self._write("421 Misdirected", attempt, b"", signed=False)
             return
+        if behaviour == "fail-then-shed":
+            behaviour = "shed" if attempt in server.ran else "fail"
+            server.ran.add(attempt)
         if behaviour == "shed":
             self._write(
                 "503 Busy", attempt, b"", signed=False, extra="Ibiswick-Not-Executed: 1\r\n"
@@ -156,6 +164,7 @@
         self.beating: list[bool] = []
         self.services = services
         self.born = 1_000_000
+        self.ran: set[str] = set()
 
     def write_configuration(self, version: str = "0000000c", **changes: Any) -> None:
         """Write a configuration as the operator does."""
@@ -174,7 +183,7 @@
     async def add(self, index: int) -> None:
         """Start one node and its backend server."""
         service = self.services[index]
-        backend = FakeBackendServer(self.loop, instance=f"i-{index}", service=service)
+        backend = FakeBackendServer(self.loop, instance=f"i-{index}", service=service, ran=self.ran)
         held = [bind_socket(HOST, 0) for _ in range(6)]
         await self.loop.create_server(lambda: BackendConnection(backend), sock=held[0])
         addresses = [Address(HOST, item.getsockname()[1]) for item in held]
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -347,3 +347,39 @@
     strangers, children = run_mesh(scenario)
     assert children == [200] * 3
     assert 503 in strangers
+
+
+def test_a_call_that_has_run_is_never_said_not_to_have_run() -> None:
+    """Guard against "not run" for a call that failed at one backend server and then had no room.
+
+    Seen in incident inc-07b8: callers got 503 for calls that had run and failed.
+    """
+
+    async def scenario(mesh: DirectMesh) -> tuple[Client, int]:
+        return await mesh.call(0, "/read/1/fail-then-shed", "a1"), mesh.count_runs("a1")
+
+    client, runs = run_mesh(scenario)
+    assert runs == 1
+    assert client.status == 500
+    assert client.headers["ibiswick-response-signature"] == "s"
+
+
+def test_a_call_that_waited_is_not_passed_to_a_backend_server_that_leaves() -> None:
+    """Guard against late work for a backend server that leaves while a slow body comes in."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, int]:
+        client = await mesh.connect(mesh.nodes[0].settings.caller.port)
+        assert client is not None
+        raw = build_request("/upload/1/ok", "u1", method="POST", body=b"x" * 200_000)
+        client.transport.write(raw[:100_000])
+        await asyncio.sleep(0.2)
+        await mesh.announce(
+            3,
+            "heartbeat",
+            build_beat(service="archive", state="draining", sequence=1000, born=mesh.born + 3),
+        )
+        client.transport.write(raw[100_000:])
+        await client.done
+        return client.status, mesh.count_runs("u1")
+
+    assert run_mesh(scenario) == (503, 0)
