Keep a backend server's leaving over a restart of its node

A node that had acknowledged that its backend server leaves was restarted by a roll.

The node's record now says that its backend server leaves. A new process looks its earlier record up, in the object API or from another node, before it offers the backend server, for 2 s at most. A departure that names no start ends the start that the earlier record names, or every start until then.

Ruled out: a stale peer (the node itself passed the call on), a heartbeat of another start (same born).

--- a/src/ibiswick/_internal/direct/exchange.py
+++ b/src/ibiswick/_internal/direct/exchange.py
@@ -53,8 +53,8 @@
 
 
 def _decode_record(row: Any) -> NodeRecord:
-    if isinstance(row, list) and len(row) == len(NodeRecord._fields):
-        record = parse_record(dict(zip(NodeRecord._fields, row, strict=True)))
+    if isinstance(row, list):
+        record = parse_record(dict(zip(NodeRecord._fields, row, strict=False)))
         if record is not None:
             return record
     raise MessageError("an exchange message has a malformed record")
--- a/src/ibiswick/_internal/direct/instances.py
+++ b/src/ibiswick/_internal/direct/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ..shared.records import LocalInstance
 
@@ -56,14 +56,28 @@
         self.current: LocalInstance | None = None
         self._sequence = -1
         self._departed: dict[tuple[str, int], None] = {}
+        self._earlier: LocalInstance | None = None
+        # Departures that named no start, of ids that were unknown, by the time they came (Unix ms).
+        self._unnamed: dict[str, int] = {}
+
+    def note_earlier(self, earlier: LocalInstance) -> None:
+        """Take over what an earlier process of this node has announced."""
+        self._earlier = earlier
+        departed = self._unnamed.pop(earlier.instance, None) is not None
+        if not earlier.leaving and not departed:
+            return
+        self._remember(_get_key(earlier))
+        current = self.current
+        if current is not None and _get_key(current) == _get_key(earlier):
+            self.current = current._replace(leaving=True)
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
         """Take over a heartbeat if it is the newest."""
         key = (heartbeat.instance, heartbeat.born)
-        if key in self._departed:
+        if key in self._departed or heartbeat.born <= self._unnamed.get(heartbeat.instance, -1):
             return Verdict.DEPARTED
         current = self.current
-        is_same = current is not None and (current.instance, current.born) == key
+        is_same = current is not None and _get_key(current) == key
         if current is not None and not is_same and heartbeat.born <= current.born:
             return Verdict.LATE
         if is_same and heartbeat.sequence <= self._sequence:
@@ -77,22 +91,41 @@
             return Verdict.NEW
         return Verdict.UNCHANGED if self.current == current else Verdict.CHANGED
 
-    def note_departure(self, departure: Departure) -> Verdict:
-        """Note that an incarnation has left for good."""
+    def note_departure(self, departure: Departure, *, now_ms: int) -> Verdict:
+        """Note that an incarnation has left for good; `now_ms` is in milliseconds since 1970."""
         current = self.current
         if departure.born is not None:
             self._remember((departure.instance, departure.born))
         if current is None or current.instance != departure.instance:
+            if departure.born is None:
+                self._note_unnamed(departure.instance, now_ms)
             return Verdict.DEPARTED
         if departure.born is not None and departure.born != current.born:
             return Verdict.LATE
-        self._remember((current.instance, current.born))
+        self._remember(_get_key(current))
         if current.leaving:
             return Verdict.UNCHANGED
         self.current = current._replace(leaving=True)
         return Verdict.CHANGED
 
+    def _note_unnamed(self, instance: str, now_ms: int) -> None:
+        """Find which start has left; without an earlier record it is any until now."""
+        earlier = self._earlier
+        if earlier is not None and earlier.instance == instance:
+            self._remember(_get_key(earlier))
+            return
+        self._unnamed[instance] = now_ms
+        _drop_oldest(self._unnamed)
+
     def _remember(self, key: tuple[str, int]) -> None:
         self._departed[key] = None
-        if len(self._departed) > MAX_DEPARTED:
-            del self._departed[next(iter(self._departed))]
+        _drop_oldest(self._departed)
+
+
+def _get_key(instance: LocalInstance) -> tuple[str, int]:
+    return (instance.instance, instance.born)
+
+
+def _drop_oldest(remembered: dict[Any, Any]) -> None:
+    if len(remembered) > MAX_DEPARTED:
+        del remembered[next(iter(remembered))]
--- a/src/ibiswick/_internal/direct/members.py
+++ b/src/ibiswick/_internal/direct/members.py
@@ -15,7 +15,8 @@
 
     `incarnation` grows with each start of the node's process, `sequence` with each change within
     one. `instance` is empty and `slots` zero before a backend server has announced itself. A record
-    that is not `accepting` offers no slots.
+    that is not `accepting` offers no slots: the node drains, or its backend server is `leaving`,
+    which holds for this start of it whatever process runs the node.
     """
 
     vm: str
@@ -30,6 +31,7 @@
     accepting: bool
     incarnation: int
     sequence: int
+    leaving: bool = False
 
     @property
     def order(self) -> tuple[int, int]:
@@ -46,7 +48,9 @@
     if not isinstance(value, dict):
         return None
     try:
-        return msgspec.convert([value.get(name) for name in NodeRecord._fields], NodeRecord)
+        # Records of earlier releases end before the fields that have defaults.
+        row = [value[name] for name in NodeRecord._fields if name in value]
+        return msgspec.convert(row, NodeRecord)
     except msgspec.ValidationError:
         return None
 
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -101,6 +101,7 @@
         self.board = board = Blackboard()
         board.backend.set(BackendHealth(True, "announced"))
         self._clock = clock
+        self._wall_clock = wall_clock
         self._decode_announcement = decode_announcement
         self._instances = InstanceTable()
         self.counts = CallCounts()
@@ -214,7 +215,10 @@
         for listener in self._listeners:
             await listener.start()
         await self.plane.start()
-        self._tasks = [asyncio.create_task(supervise("limits", self._follow_configuration))]
+        self._tasks = [
+            asyncio.create_task(supervise("limits", self._follow_configuration)),
+            asyncio.create_task(supervise("earlier", self._follow_earlier)),
+        ]
         _log.info("node-started", vm=self.settings.vm, service=self.settings.service)
         await self._drain()
         for task in self._tasks:
@@ -349,12 +353,36 @@
         if isinstance(announcement, Heartbeat):
             verdict = self._instances.note_heartbeat(announcement)
         else:
-            verdict = self._instances.note_departure(announcement)
+            now_ms = int(self._wall_clock() * 1000)
+            verdict = self._instances.note_departure(announcement, now_ms=now_ms)
         if verdict is not Verdict.UNCHANGED:
             self._log_announcement(announcement, verdict)
-        self.board.instance.set(self._instances.current)
+        self._publish_instance()
         return Answer(200, b"{}")
 
+    async def _follow_earlier(self) -> None:
+        """Publish the backend server once it is known what an earlier process said of it."""
+        known, earlier = self.board.earlier_known, self.board.earlier_instance
+        while not known.value:
+            await known.wait_change(known.version)
+        while True:
+            version = earlier.version
+            self._publish_instance()
+            await earlier.wait_change(version)
+
+    def _publish_instance(self) -> None:
+        """Offer the backend server to callers, unless an earlier process has said that it leaves.
+
+        A late heartbeat from before the leaving must not bring it back, so nothing is offered until
+        the earlier process's record has been looked up.
+        """
+        if not self.board.earlier_known.value:
+            return
+        earlier = self.board.earlier_instance.value
+        if earlier is not None:
+            self._instances.note_earlier(earlier)
+        self.board.instance.set(self._instances.current)
+
     def _log_announcement(self, announcement: Heartbeat | Departure, verdict: Verdict) -> None:
         current = self._instances.current
         _log.info(
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -46,6 +46,9 @@
 # that no other node has heard, is gone.
 MISSING_LIMIT_S = 3.0
 RETENTION_S = 30.0
+# Longest wait for what an earlier process of this node has announced. With the object API away the
+# other nodes tell it, and each of them is heard about once a second.
+EARLIER_LIMIT_S = 2.0
 # Each node starts one exchange in this time, so a node is told by one of the others about as often.
 EXCHANGE_INTERVAL_S = 1.0
 EXCHANGE_TIMEOUT_S = 0.5
@@ -105,6 +108,7 @@
         self._incarnation = int(wall_clock() * 1000)
         self._sequence = 0
         self._own = self._build_own(None)
+        self._earlier_order = (0, 0)
         self._table.merge([self._own], now=clock())
         prefix = configuration_key.rpartition("/")[0] + "/"
         self._configuration_follower = Follower(
@@ -134,6 +138,7 @@
                 ("members", self._members_follower.run),
                 ("instance", self._follow_instance),
                 ("drain", self._follow_drain),
+                ("earlier", self._limit_earlier),
                 ("announce", self._announce),
                 ("exchange", self._exchange_forever),
             )
@@ -228,10 +233,14 @@
             self._missing.pop(record.vm, None)
             records.append(record)
         self._merge(records, source="platform")
+        if complete:
+            self._confirm_earlier("platform")
         self._changed.set()
 
     def _merge(self, records: list[NodeRecord], *, source: str) -> None:
         own = next((record for record in records if record.vm == self._own.vm), None)
+        if own is not None and own.incarnation != self._incarnation:
+            self._note_earlier(own, source)
         if own is not None and own.order > self._own.order:
             # An earlier process of this node had a later clock.
             self._incarnation = own.incarnation + 1
@@ -278,6 +287,35 @@
 
     # This node's own record
 
+    def _note_earlier(self, record: NodeRecord, source: str) -> None:
+        """Take over what an earlier process of this node has announced."""
+        if record.order > self._earlier_order and record.instance:
+            self._earlier_order = record.order
+            self._board.earlier_instance.set(
+                LocalInstance(
+                    record.instance, record.service, record.slots, record.born, record.leaving
+                )
+            )
+        self._confirm_earlier(source)
+
+    def _confirm_earlier(self, source: str) -> None:
+        known = self._board.earlier_known
+        if known.value:
+            return
+        earlier = self._board.earlier_instance.value
+        _log.info(
+            "earlier-record-known",
+            source=source,
+            instance=earlier.instance if earlier is not None else "-",
+            leaving=earlier.leaving if earlier is not None else "-",
+        )
+        known.set(True)
+
+    async def _limit_earlier(self) -> None:
+        """Go on without the earlier record when nobody has told it in time."""
+        await asyncio.sleep(EARLIER_LIMIT_S)
+        self._confirm_earlier("limit")
+
     def _build_own(self, instance: LocalInstance | None) -> NodeRecord:
         settings = self._settings
         accepting = instance is not None and not instance.leaving and not self._board.drain.value
@@ -294,6 +332,7 @@
             accepting,
             self._incarnation,
             self._sequence,
+            instance is not None and instance.leaving,
         )
 
     def _publish_own(self) -> None:
@@ -396,8 +435,12 @@
         digest = compute_members_digest(records)
         snapshot = self._board.snapshot.value
         generation = snapshot.generation if snapshot is not None else 0
+        if not self._board.earlier_known.value:
+            # This node's new record would replace the earlier one that it still has to hear.
+            records = tuple(record for record in records if record.vm != self._own.vm)
         if behind is None:
-            return ExchangeMessage(self._own.vm, generation, digest, (self._own,))
+            own = tuple(record for record in records if record.vm == self._own.vm)
+            return ExchangeMessage(self._own.vm, generation, digest, own)
         return ExchangeMessage(
             self._own.vm,
             generation,
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -67,6 +67,10 @@
         self.caller_limits: Cell[CallerLimits] = Cell(CallerLimits())
         # Set where backend servers announce themselves to their node.
         self.instance: Cell[LocalInstance | None] = Cell(None)
+        # What an earlier process of this node announced of the backend server, and whether that has
+        # been looked up; written by the direct plane.
+        self.earlier_instance: Cell[LocalInstance | None] = Cell(None)
+        self.earlier_known: Cell[bool] = Cell(False)
         # Priorities of the calls at the local backend server by their ids; written where calls get
         # their slots.
         self.running: dict[bytes, int] = {}
--- a/tests/test_direct_plane.py
+++ b/tests/test_direct_plane.py
@@ -24,7 +24,7 @@
 from ibiswick._internal.direct.plane import MEMBERS_PREFIX
 from ibiswick._internal.platform.configuration import CONFIGURATION_KEY
 from ibiswick._internal.shared.errors import MessageError
-from platform_documents import build_configuration
+from platform_documents import build_beat, build_configuration
 
 logbook.NullHandler().push_application()
 
@@ -125,6 +125,45 @@
     assert run_mesh(scenario) == ([12, 12, 12], 3, 200)
 
 
+@pytest.mark.parametrize("is_up", [True, False])
+@pytest.mark.parametrize("call", ["heartbeat", "deregister"])
+def test_leaving_holds_after_a_restart_of_the_node(call: str, is_up: bool) -> None:
+    """Guard against calls that a late heartbeat brings to a backend server that has left.
+
+    With the object API away, the other nodes tell the new process what the earlier one has said.
+    """
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, int, int]:
+        set_platform(mesh, up=is_up)
+        mesh.beating[2] = False
+        leaving = build_beat(service="archive", sequence=90, state="draining", born=mesh.born + 2)
+        await mesh.announce(2, call, leaving)
+        await asyncio.sleep(3)
+        await mesh.restart(2)
+        await asyncio.sleep(0.01)
+        late = build_beat(service="archive", sequence=89, born=mesh.born + 2)
+        assert await mesh.announce(2, "heartbeat", late) == 200
+        await asyncio.sleep(1)
+        client = await mesh.call(0, "/upload/1/ok", "a1", method="POST")
+        return client.status, mesh.count_runs("a1"), count_endpoints(mesh, 1)
+
+    assert run_mesh(scenario) == (503, 0, 2)
+
+
+def test_a_first_start_during_an_outage_is_not_held_back_for_long() -> None:
+    """Guard against a node that waits for news of an earlier process that never ran."""
+
+    async def scenario(mesh: DirectMesh) -> int:
+        set_platform(mesh, up=False)
+        await mesh.restart(0)
+        for other in (1, 2):
+            await mesh.kill(other)
+        await asyncio.sleep(4)
+        return count_endpoints(mesh, 0)
+
+    assert run_mesh(scenario) == 1
+
+
 def test_entries_that_vanish_are_back_soon_after_the_platform() -> None:
     """Guard against backend servers that are taken for gone though they live."""
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -8,6 +8,9 @@
 
 from builders import build_heartbeat
 from ibiswick._internal.direct.instances import Departure, InstanceTable, Verdict
+from ibiswick._internal.shared.records import LocalInstance
+
+EARLIER = LocalInstance("i-1", "dukkan-masa", 6, 1000, False)
 
 
 def test_a_heartbeat_of_an_earlier_start_changes_nothing() -> None:
@@ -44,7 +47,7 @@
     """Guard against heartbeats that arrive after the call that ends them."""
     table = InstanceTable()
     table.note_heartbeat(build_heartbeat(born=1000, sequence=1))
-    table.note_departure(Departure("i-1", born))
+    table.note_departure(Departure("i-1", born), now_ms=3000)
     assert table.note_heartbeat(build_heartbeat(born=1000, sequence=2)) is Verdict.DEPARTED
     assert table.current is not None
     assert table.current.leaving
@@ -54,7 +57,49 @@
     """Guard against a delayed departure that ends the successor under the same id."""
     table = InstanceTable()
     table.note_heartbeat(build_heartbeat(born=2000, sequence=1))
-    table.note_departure(Departure("i-1", 1000))
+    table.note_departure(Departure("i-1", 1000), now_ms=3000)
+    assert table.current is not None
+    assert not table.current.leaving
+
+
+def test_a_departure_before_any_heartbeat_counts() -> None:
+    """Guard against a delayed heartbeat that a new process takes for a return."""
+    table = InstanceTable()
+    table.note_departure(Departure("i-1", None), now_ms=5000)
+    assert table.note_heartbeat(build_heartbeat(born=1000, sequence=9)) is Verdict.DEPARTED
+    assert table.note_heartbeat(build_heartbeat(born=6000, sequence=1)) is Verdict.NEW
+
+
+@pytest.mark.parametrize("is_known_first", [True, False])
+def test_a_departure_names_the_start_that_an_earlier_process_knew(is_known_first: bool) -> None:
+    """Guard against a clock that was set forward and hides the next start under the same id."""
+    table = InstanceTable()
+    if is_known_first:
+        table.note_earlier(EARLIER)
+    table.note_departure(Departure("i-1", None), now_ms=9_000_000)
+    if not is_known_first:
+        table.note_earlier(EARLIER)
+    assert table.note_heartbeat(build_heartbeat(born=1000, sequence=9)) is Verdict.DEPARTED
+    assert table.note_heartbeat(build_heartbeat(born=2000, sequence=1)) is Verdict.NEW
+
+
+@pytest.mark.parametrize("is_known_first", [True, False])
+def test_leaving_holds_for_the_next_process(is_known_first: bool) -> None:
+    """Guard against a restarted node that believes a heartbeat from before the leaving."""
+    table = InstanceTable()
+    if is_known_first:
+        table.note_earlier(EARLIER._replace(leaving=True))
+    table.note_heartbeat(build_heartbeat(born=1000, sequence=9))
+    if not is_known_first:
+        table.note_earlier(EARLIER._replace(leaving=True))
+    assert table.current is None or table.current.leaving
+
+
+def test_an_earlier_process_that_saw_no_leaving_changes_nothing() -> None:
+    """Guard against a backend server that is held back because its node has restarted."""
+    table = InstanceTable()
+    table.note_earlier(EARLIER)
+    assert table.note_heartbeat(build_heartbeat(born=1000, sequence=9)) is Verdict.NEW
     assert table.current is not None
     assert not table.current.leaving
 
