Read a large configuration on few nodes, and send the others the difference

With 1,600 routes a version is 290 KB; each of 91 nodes read it over links of 2.5 to 50 Mbit/s that also carry the calls. Two readers of each availability zone, those whose first read was fastest, now follow it, and the others ask them twice a second.

A reader that is silent or has lost the object API is left out for 5 s; with two of them silent a node reads itself, so that a change stays in effect within its bound when the readers fail.

--- a/src/ibiswick/_internal/configuration/snapshots.py
+++ b/src/ibiswick/_internal/configuration/snapshots.py
@@ -146,6 +146,19 @@
     return Snapshot(delta.workspace, delta.generation, delta.digest, services, ordered)
 
 
+def reuse_routes(base: Snapshot, target: Snapshot) -> Snapshot:
+    """Return the target with the route objects of the base where they are equal.
+
+    Versions that are kept side by side then share most of their memory.
+    """
+    known = {route["id"]: route for route in base.routes}
+    routes = []
+    for route in target.routes:
+        before = known.get(route["id"])
+        routes.append(before if before is not None and before == route else route)
+    return target._replace(routes=tuple(routes))
+
+
 def decide_apply(current: Snapshot | None, offered: Snapshot, *, floor: int) -> ApplyDecision:
     """Decide whether a node replaces its snapshot by an offered one.
 
--- a/src/ibiswick/_internal/direct/exchange.py
+++ b/src/ibiswick/_internal/direct/exchange.py
@@ -1,55 +1,92 @@
 """Exchange members and configuration between two nodes.
 
-A message carries what its sender has in short: the generation of its configuration and a digest
-of its members. The answer adds what the sender lacks. This works without the object API, so that a
+A message carries what its sender has in short: the generation and digest of its configuration and
+a digest of its members. The answer adds what the sender lacks, of a configuration the difference if
+the sender's is known. This works without the object API, so that a
 node that restarts during an outage hears of everything from any node that still knows its address.
 """
 
 from __future__ import annotations
 
-import hashlib
-from collections.abc import Iterable
+import zlib
 from typing import Any, NamedTuple
 
 import cbor2
+import msgspec
 
+from ..control.messages import DeltaSnapshot, FullSnapshot
+from ..control.messages import decode_message as decode_update
+from ..control.messages import encode_message as encode_update
 from ..shared.errors import MessageError
+from ..shared.records import CallerLimits
 from .members import NodeRecord, parse_record
 
 PATH = "/exchange"
 MAX_RECORDS = 20_000
+MAX_CONTENT_BYTES = 8 * 1024 * 1024
+# The fastest level; routes and records repeat so much that the higher ones gain little.
+COMPRESSION_LEVEL = 1
 
 
 class ExchangeMessage(NamedTuple):
-    """Hold what a node tells another one; `configuration` is None when it is not needed."""
+    """Hold what a node tells another one.
+
+    `generation` and `configuration` (a digest) name the sender's configuration, which it reads from
+    the object API itself if it is `reading`. `members` is a digest of its members. What the
+    receiver lacks follows: `records`, and `update` with `limits`, None when they are not needed.
+    """
 
     sender: str
     generation: int
-    digest: bytes
+    configuration: str
+    reading: bool
+    members: bytes
     records: tuple[NodeRecord, ...] = ()
-    configuration: Any = None
+    update: FullSnapshot | DeltaSnapshot | None = None
+    limits: CallerLimits = CallerLimits()
+
+
+class _Wire(NamedTuple):
+    sender: str
+    generation: int
+    configuration: str
+    reading: bool
+    members: bytes
+    records: list[Any]
+    update: bytes
+    limits: CallerLimits
 
 
 def encode_message(message: ExchangeMessage) -> bytes:
-    """Encode a message as CBOR."""
+    """Encode a message as compressed CBOR; raise MessageError when it is too large."""
+    update = encode_update(message.update) if message.update is not None else b""
     records = [list(record) for record in message.records]
-    return cbor2.dumps(
-        [message.sender, message.generation, message.digest, records, message.configuration]
-    )
+    raw = cbor2.dumps([*message[:5], records, update, list(message.limits)])
+    return zlib.compress(raw, COMPRESSION_LEVEL)
 
 
 def decode_message(raw: bytes) -> ExchangeMessage:
     """Decode a message; raise MessageError when it is malformed."""
     try:
-        sender, generation, digest, rows, configuration = cbor2.loads(raw)
-    except (cbor2.CBORError, ValueError, TypeError) as error:
-        raise MessageError(f"not an exchange message: {error}") from error
-    if not (isinstance(sender, str) and isinstance(generation, int) and isinstance(digest, bytes)):
-        raise MessageError("an exchange message has fields of another type")
-    if not isinstance(rows, list) or len(rows) > MAX_RECORDS:
-        raise MessageError("an exchange message has no list of records")
-    records = [_decode_record(row) for row in rows]
-    return ExchangeMessage(sender, generation, digest, tuple(records), configuration)
+        wire = msgspec.convert(cbor2.loads(_decompress(raw)), _Wire)
+    # The decoder lets errors of tag handlers through, so any exception means a malformed message.
+    except Exception as error:
+        raise MessageError(f"not an exchange message: {error!r}") from error
+    if len(wire.records) > MAX_RECORDS:
+        raise MessageError("an exchange message has too many records")
+    records = tuple(_decode_record(row) for row in wire.records)
+    update = decode_update(wire.update) if wire.update else None
+    if update is not None and not isinstance(update, (FullSnapshot, DeltaSnapshot)):
+        raise MessageError("an exchange message holds no snapshot where one is due")
+    return ExchangeMessage(*wire[:5], records, update, wire.limits)
+
+
+def _decompress(raw: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(raw, MAX_CONTENT_BYTES)
+    if not decompressor.eof:
+        raise MessageError(f"an exchange message is cut or over {MAX_CONTENT_BYTES} bytes")
+    return content
 
 
 def _decode_record(row: Any) -> NodeRecord:
@@ -58,11 +95,3 @@
         if record is not None:
             return record
     raise MessageError("an exchange message has a malformed record")
-
-
-def compute_members_digest(records: Iterable[NodeRecord]) -> bytes:
-    """Return a digest of which record of each node is known."""
-    hashed = hashlib.blake2b(digest_size=8)
-    for record in sorted(records):
-        hashed.update(f"{record.vm}:{record.incarnation}:{record.sequence};".encode())
-    return hashed.digest()
--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -43,6 +43,8 @@
     ) -> None:
         self._clock = clock
         self.answered_at = clock()
+        # How long the first complete listing took, in seconds; None before it.
+        self.first_list_s: float | None = None
         self._platform = platform
         self._prefix = prefix
         self._apply = apply
@@ -70,7 +72,10 @@
     async def _step(self) -> None:
         """List once, or wait for the next changes."""
         if self._revision is None:
+            started = self._clock()
             listing = await self._platform.list(self._prefix)
+            if self.first_list_s is None:
+                self.first_list_s = self._clock() - started
             self._note_regained(listing)
             self._apply(listing, True)
         else:
--- a/src/ibiswick/_internal/direct/members.py
+++ b/src/ibiswick/_internal/direct/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -16,7 +17,8 @@
     `incarnation` grows with each start of the node's process, `sequence` with each change within
     one. `instance` is empty and `slots` zero before a backend server has announced itself. A record
     that is not `accepting` offers no slots: the node drains, or its backend server is `leaving`,
-    which holds for this start of it whatever process runs the node.
+    which holds for this start of it whatever process runs the node. `read_ms` is about how long the
+    node's first read of the configuration took, zero if unknown.
     """
 
     vm: str
@@ -32,6 +34,7 @@
     incarnation: int
     sequence: int
     leaving: bool = False
+    read_ms: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -55,6 +58,14 @@
         return None
 
 
+def compute_members_digest(records: Iterable[NodeRecord]) -> bytes:
+    """Return a digest of which record of each node is known."""
+    hashed = hashlib.blake2b(digest_size=8)
+    for record in sorted(records):
+        hashed.update(f"{record.vm}:{record.incarnation}:{record.sequence};".encode())
+    return hashed.digest()
+
+
 class MemberTable:
     """Merge records by incarnation and sequence, whatever way they come.
 
@@ -66,6 +77,14 @@
         self.records: dict[str, NodeRecord] = {}
         self._retention_s = retention_s
         self._removed: dict[str, tuple[tuple[int, int], float]] = {}
+        self._digest: bytes | None = None
+
+    @property
+    def digest(self) -> bytes:
+        """Return a digest of which record of each node is known."""
+        if self._digest is None:
+            self._digest = compute_members_digest(self.records.values())
+        return self._digest
 
     def merge(self, records: Iterable[NodeRecord], *, now: float) -> bool:
         """Take over the newer records; return whether anything changed."""
@@ -80,6 +99,7 @@
                     continue
                 del self._removed[record.vm]
             self.records[record.vm] = record
+            self._digest = None
             changed = True
         return changed
 
@@ -88,6 +108,7 @@
         record = self.records.pop(vm, None)
         if record is None:
             return False
+        self._digest = None
         self._removed[vm] = (record.order, now + self._retention_s)
         return True
 
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -10,26 +10,26 @@
 
 from ..calls.pool import Limits, Pool, Remote, Request, read_whole
 from ..calls.serving import AbortResponseError, ServerRequest
+from ..configuration.snapshots import ApplyOutcome, Delta, apply_delta, decide_apply, reuse_routes
+from ..control.messages import DeltaSnapshot, FullSnapshot
+from ..control.relay import SnapshotHistory
 from ..shared.blackboard import Blackboard
 from ..shared.errors import (
+    BaseMismatchError,
     ConflictError,
     ExchangeError,
     IbiswickError,
     MessageError,
     PlatformError,
+    SnapshotError,
 )
 from ..shared.logs import EventLog
 from ..shared.objectapi import MUST_NOT_EXIST, Listing, Platform, StoredObject
 from ..shared.records import CallerLimits, LocalInstance, Snapshot
-from .exchange import (
-    PATH,
-    ExchangeMessage,
-    compute_members_digest,
-    decode_message,
-    encode_message,
-)
+from .exchange import PATH, ExchangeMessage, decode_message, encode_message
 from .follower import Follower
 from .members import MemberTable, NodeRecord, parse_record
+from .readers import MIN_READERS, choose_readers, round_read_time
 from .settings import DirectSettings
 from .supervision import supervise
 
@@ -42,6 +42,10 @@
 MEMBERS_GATHER_S = 0.5
 SMALL_FLEET = 20
 MAX_MEMBERS_GATHER = 4.0
+# Nodes that do not read a large configuration ask a reader this often; changes are due in 2 s.
+READER_POLL_S = 0.5
+# A reader that has failed is asked again after this time.
+SILENT_S = 5.0
 # A node whose entry has vanished from the object API and does not come back within this time, and
 # that no other node has heard, is gone.
 MISSING_LIMIT_S = 3.0
@@ -99,7 +103,13 @@
         self._rng = rng or random.Random()
         self._clock = clock
         self._table = MemberTable(retention_s=RETENTION_S)
-        self._configuration: Any = None
+        self.history = SnapshotHistory()
+        # Set when a difference could not be used; the next message then asks for the whole.
+        self._needs_whole = False
+        # Whether this node follows the configuration in the object API itself.
+        self.is_reading = True
+        # Readers that have not answered, until when they are not asked.
+        self._silent: dict[str, float] = {}
         self._stored: dict[str, StoredObject] = {}
         self._missing: dict[str, float] = {}
         self._heard: dict[str, float] = {}
@@ -107,9 +117,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._incarnation = int(wall_clock() * 1000)
         self._sequence = 0
-        self._own = self._build_own(None)
-        self._earlier_order = (0, 0)
-        self._table.merge([self._own], now=clock())
         prefix = configuration_key.rpartition("/")[0] + "/"
         self._configuration_follower = Follower(
             platform=platform,
@@ -128,13 +135,16 @@
             find_gather_s=self._find_members_gather_s,
             clock=clock,
         )
+        self._own = self._build_own(None)
+        self._earlier_order = (0, 0)
+        self._table.merge([self._own], now=clock())
 
     async def start(self) -> None:
         """Start the controllers."""
         self._tasks = [
             asyncio.create_task(supervise(name, run))
             for name, run in (
-                ("configuration", self._configuration_follower.run),
+                ("configuration", self._follow_configuration),
                 ("members", self._members_follower.run),
                 ("instance", self._follow_instance),
                 ("drain", self._follow_drain),
@@ -185,6 +195,9 @@
         written = [item.value for item in listing.objects if item.key == self._key]
         if written and written[-1] is not None:
             self.offer_configuration(written[-1], source="platform")
+        if complete and self._own.instance:
+            # The time of the first read may have become known after the instance.
+            self._publish_own()
 
     def offer_configuration(self, value: Any, *, source: str) -> None:
         """Apply a configuration if it is valid and newer than the one in effect."""
@@ -193,21 +206,113 @@
         except IbiswickError as error:
             _log.warn("configuration-refused", source=source, code=error.code, detail=error)
             return
-        current = self._board.snapshot.value
-        if current is not None and snapshot.generation <= current.generation:
+        current = self.history.current
+        if current is None:
+            self._apply_snapshot(snapshot, limits, source)
+        elif snapshot.generation > current.generation:
+            self._apply_snapshot(reuse_routes(current, snapshot), limits, source)
+
+    def _take_update(self, message: ExchangeMessage) -> None:
+        """Apply the newer configuration that another node has sent, if it is sound."""
+        update, current = message.update, self.history.current
+        if update is None or (current is not None and update.generation <= current.generation):
+            return
+        try:
+            snapshot = self._build_updated(update)
+        except SnapshotError as error:
+            self._refuse_update(message.sender, error.code, error.detail)
             return
-        self._configuration = value
+        decision = decide_apply(current, snapshot, floor=0)
+        if decision.outcome is ApplyOutcome.APPLIED:
+            self._apply_snapshot(snapshot, message.limits, message.sender)
+        elif decision.refusal is not None:
+            self._refuse_update(message.sender, decision.refusal.code, decision.refusal.detail)
+
+    def _build_updated(self, update: FullSnapshot | DeltaSnapshot) -> Snapshot:
+        if isinstance(update, FullSnapshot):
+            return Snapshot(*update)
+        if self.history.current is None:
+            raise BaseMismatchError("this node has no configuration")
+        return apply_delta(self.history.current, Delta(*update))
+
+    def _refuse_update(self, source: str, code: str, detail: str) -> None:
+        self._needs_whole = True
+        _log.warn("configuration-refused", source=source, code=code, detail=detail)
+
+    def _apply_snapshot(self, snapshot: Snapshot, limits: CallerLimits, source: str) -> None:
+        before = self.history.current
+        self.history.advance(snapshot)
+        self._needs_whole = False
         self._board.caller_limits.set(limits)
         self._board.snapshot.set(snapshot)
         self._board.floor_confirmed.set(True)
         _log.info(
             "configuration-applied",
             generation=snapshot.generation,
-            before=current.generation if current is not None else 0,
+            before=before.generation if before is not None else 0,
             source=source,
             routes=len(snapshot.routes),
         )
 
+    async def _follow_configuration(self) -> None:
+        """Read the configuration from the object API, or ask the readers for it."""
+        while True:
+            reading = asyncio.create_task(supervise("reader", self._configuration_follower.run))
+            try:
+                await self._wait_until_spared()
+            finally:
+                reading.cancel()
+                await asyncio.gather(reading, return_exceptions=True)
+            self._note_reading(False)
+            while not self._is_reader():
+                await asyncio.sleep(self._rng.uniform(0.5, 1.5) * READER_POLL_S)
+                await self._ask_reader()
+            self._note_reading(True)
+
+    async def _wait_until_spared(self) -> None:
+        """Wait until other nodes read the configuration for this one."""
+        while True:
+            await asyncio.sleep(READER_POLL_S)
+            if not self._is_reader():
+                return
+
+    def _note_reading(self, reading: bool) -> None:
+        self.is_reading = reading
+        _log.info("configuration-source", reading=reading, silent=len(self._silent))
+
+    def _is_reader(self) -> bool:
+        """Tell whether this node reads the configuration itself.
+
+        It does so while the configuration is small, and when no reader answers.
+        """
+        if self._find_large_key() is None or len(self._find_silent()) >= MIN_READERS:
+            return True
+        readers = self._choose_readers()
+        return any(record.vm == self._own.vm for record in readers)
+
+    def _choose_readers(self) -> tuple[NodeRecord, ...]:
+        return choose_readers(
+            self._table.records.values(),
+            availability_zone=self._settings.availability_zone,
+            silent=self._find_silent(),
+        )
+
+    def _find_silent(self) -> dict[str, float]:
+        now = self._clock()
+        self._silent = {vm: until for vm, until in self._silent.items() if now < until}
+        return self._silent
+
+    async def _ask_reader(self) -> None:
+        """Ask one of the readers for a newer configuration."""
+        readers = [record for record in self._choose_readers() if record.vm != self._own.vm]
+        if not readers:
+            return
+        reader = self._rng.choice(readers)
+        answer = await self._exchange_with(reader)
+        if answer is None or not answer.reading:
+            self._silent[reader.vm] = self._clock() + SILENT_S
+            _log.info("reader-silent", vm=reader.vm, answered=answer is not None)
+
     # Members
 
     def _apply_members(self, listing: Listing, complete: bool) -> None:
@@ -333,8 +438,13 @@
             self._incarnation,
             self._sequence,
             instance is not None and instance.leaving,
+            self._find_read_ms(),
         )
 
+    def _find_read_ms(self) -> int:
+        first_list_s = self._configuration_follower.first_list_s
+        return round_read_time(first_list_s) if first_list_s is not None else 0
+
     def _publish_own(self) -> None:
         """Give this node's record the next sequence, if it has changed."""
         built = self._build_own(self._board.instance.value)
@@ -417,46 +527,53 @@
             if peers:
                 await self._exchange_with(self._table.records[self._rng.choice(peers)])
 
-    async def _exchange_with(self, record: NodeRecord) -> None:
+    async def _exchange_with(self, record: NodeRecord) -> ExchangeMessage | None:
+        """Exchange what both nodes lack; return the answer, None if there is none."""
         remote = Remote(record.host, record.exchange_port)
         try:
             answer = await self._send(remote, self._build_message())
-            await self._take(answer)
+            self._take(answer)
             if self._is_behind(answer):
                 await self._send(remote, self._build_message(behind=answer))
         except (ExchangeError, MessageError) as error:
             _log.debug("exchange-failed", vm=record.vm, code=error.code, detail=error)
-            return
+            return None
         self._heard[record.vm] = self._clock()
+        return answer
 
     def _build_message(self, *, behind: ExchangeMessage | None = None) -> ExchangeMessage:
         """Build a message with what another node lacks according to its own message."""
         records = tuple(self._table.records.values())
-        digest = compute_members_digest(records)
-        snapshot = self._board.snapshot.value
-        generation = snapshot.generation if snapshot is not None else 0
+        digest = self._table.digest
         if not self._board.earlier_known.value:
             # This node's new record would replace the earlier one that it still has to hear.
             records = tuple(record for record in records if record.vm != self._own.vm)
-        if behind is None:
-            own = tuple(record for record in records if record.vm == self._own.vm)
-            return ExchangeMessage(self._own.vm, generation, digest, own)
-        return ExchangeMessage(
+        current = self.history.current
+        message = ExchangeMessage(
             self._own.vm,
-            generation,
+            current.generation if current is not None else 0,
+            current.digest if current is not None and not self._needs_whole else "",
+            self.is_reading and self._configuration_follower.connected,
             digest,
-            records if behind.digest != digest else (),
-            self._configuration if behind.generation < generation else None,
+        )
+        if behind is None:
+            return message._replace(
+                records=tuple(record for record in records if record.vm == self._own.vm)
+            )
+        return message._replace(
+            records=records if behind.members != digest else (),
+            update=self.history.choose_update(behind.generation, behind.configuration),
+            limits=self._board.caller_limits.value,
         )
 
     def _is_behind(self, message: ExchangeMessage) -> bool:
         """Tell whether a node lacks something that this one has."""
-        own = self._build_message()
-        return message.generation < own.generation or message.digest != own.digest
+        current = self.history.current
+        generation = current.generation if current is not None else 0
+        return message.generation < generation or message.members != self._table.digest
 
-    async def _take(self, message: ExchangeMessage) -> None:
-        if message.configuration is not None:
-            self.offer_configuration(message.configuration, source=message.sender)
+    def _take(self, message: ExchangeMessage) -> None:
+        self._take_update(message)
         self._merge(list(message.records), source=message.sender)
 
     async def _send(self, remote: Remote, message: ExchangeMessage) -> ExchangeMessage:
@@ -479,7 +596,7 @@
             _log.warn("exchange-refused", code=error.code, detail=error)
             request.respond(400, [], b"")
             return
-        await self._take(message)
+        self._take(message)
         self._heard[message.sender] = self._clock()
         answer = self._build_message(behind=message)
         request.respond(200, [(b"content-type", b"application/cbor")], encode_message(answer))
--- a/tests/test_direct_plane.py
+++ b/tests/test_direct_plane.py
@@ -4,31 +4,47 @@
 
 import asyncio
 import random
+import zlib
 from typing import Any
 
+import cbor2
 import logbook
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from builders import build_node_record
+from builders import build_node_record, build_policy, build_route
 from call_network import VirtualLoop, run_virtual
 from direct_network import DirectMesh
+from ibiswick._internal.configuration.snapshots import build_snapshot, compute_delta
+from ibiswick._internal.control.messages import DeltaSnapshot, Drain, FullSnapshot
 from ibiswick._internal.direct.exchange import (
+    MAX_CONTENT_BYTES,
     ExchangeMessage,
-    compute_members_digest,
     decode_message,
     encode_message,
 )
 from ibiswick._internal.direct.members import MemberTable, parse_record
 from ibiswick._internal.direct.plane import MEMBERS_PREFIX
+from ibiswick._internal.direct.readers import choose_readers
 from ibiswick._internal.platform.configuration import CONFIGURATION_KEY
 from ibiswick._internal.shared.errors import MessageError
+from ibiswick._internal.shared.records import CallerLimits
 from platform_documents import build_beat, build_configuration
 
 logbook.NullHandler().push_application()
 
 SERVICES = ["counter", "counter", "archive"]
+BEFORE = build_snapshot(
+    workspace="", generation=1, services={"a": build_policy()}, routes=[build_route(service="a")]
+)
+AFTER = BEFORE._replace(generation=2)
+WHOLE = FullSnapshot(*AFTER)
+DIFFERENCE = DeltaSnapshot(*compute_delta(BEFORE, AFTER))
+
+
+def build_message(**changes: Any) -> ExchangeMessage:
+    return ExchangeMessage("a", 12, "abc", True, b"members")._replace(**changes)
 
 
 def run_mesh(scenario: Any) -> Any:
@@ -247,10 +263,11 @@
     assert table.merge([record._replace(sequence=3)], now=5.0)
 
 
-def test_messages_survive_their_encoding() -> None:
-    """Guard against members that differ after an exchange."""
-    records = (build_node_record(vm="a"), build_node_record(vm="b"))
-    message = ExchangeMessage("a", 12, compute_members_digest(records), records, {"version": "1"})
+@pytest.mark.parametrize("update", [None, WHOLE, DIFFERENCE])
+def test_messages_survive_their_encoding(update: FullSnapshot | DeltaSnapshot | None) -> None:
+    """Guard against members or a configuration that differ after an exchange."""
+    records = (build_node_record(vm="a"), build_node_record(vm="b", leaving=True))
+    message = build_message(records=records, update=update, limits=CallerLimits(1000, 2000))
     assert decode_message(encode_message(message)) == message
 
 
@@ -259,9 +276,13 @@
     [
         b"",
         b"\xff",
-        encode_message(ExchangeMessage("a", 1, b"", ("text",)))[:-3],  # type: ignore[arg-type]
-        encode_message(ExchangeMessage("a", "1", b"")),  # type: ignore[arg-type]
-        encode_message(ExchangeMessage("a", 1, b"", (["short"],))),  # type: ignore[arg-type]
+        encode_message(build_message())[:-3],
+        encode_message(build_message(generation="1")),
+        encode_message(build_message(records=("text",))),
+        encode_message(build_message(records=(["short"],))),
+        encode_message(build_message(update=Drain("vm-1"))),
+        zlib.compress(cbor2.dumps(["a", 1, "", True, b"", [], b"text", []])),
+        zlib.compress(bytes(MAX_CONTENT_BYTES + 1)),
     ],
 )
 def test_a_malformed_message_is_refused(raw: bytes) -> None:
@@ -278,20 +299,127 @@
     assert parse_record(build_node_record()._asdict() | change) is None
 
 
+def build_large_listeners(count: int = 900) -> list[dict[str, Any]]:
+    """Build listeners with so many routes that not every node reads them."""
+    listeners: list[dict[str, Any]] = build_configuration()["listeners"]
+    rule = listeners[0]["rules"][0]
+    listeners[0]["rules"] += [
+        rule | {"name": f"r-{n}", "match": {"prefix": f"/idle-{n}/"}} for n in range(count)
+    ]
+    return listeners
+
+
+def run_large_mesh(scenario: Any) -> Any:
+    """Run a scenario on ten nodes in two availability zones with a large configuration."""
+
+    async def main(loop: VirtualLoop) -> Any:
+        mesh = DirectMesh(loop, ["counter"] * 6 + ["archive"] * 4)
+        await mesh.start()
+        mesh.write_configuration("00000100", listeners=build_large_listeners())
+        await asyncio.sleep(6)
+        return await scenario(mesh)
+
+    return run_virtual(main)
+
+
+def test_few_nodes_read_a_large_configuration() -> None:
+    """Guard against slow links and an object API that carry it in full to every node."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], list[int], int]:
+        before = [fetch.versions_sent for fetch in mesh.fetches]
+        for number in range(10):
+            listeners = build_large_listeners()
+            listeners[0]["rules"][number]["action"]["timeout"] = "700ms"
+            mesh.write_configuration(f"{0x101 + number:08x}", listeners=listeners)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(2)
+        sent = [fetch.versions_sent - was for fetch, was in zip(mesh.fetches, before, strict=True)]
+        digests = {node.board.snapshot.value.digest for node in mesh.nodes}
+        return list_generations(mesh), sorted(sent)[:6], len(digests)
+
+    assert run_large_mesh(scenario) == ([0x10A] * 10, [0] * 6, 1)
+
+
+def test_a_change_is_in_effect_though_the_readers_have_just_failed() -> None:
+    """Guard against nodes that wait for a reader that was killed."""
+
+    async def scenario(mesh: DirectMesh) -> list[int]:
+        await asyncio.sleep(0.5)
+        readers = [index for index, node in enumerate(mesh.nodes) if node.plane.is_reading]
+        assert len(readers) == 4
+        for index in readers:
+            await mesh.kill(index)
+        mesh.write_configuration("00000110", listeners=build_large_listeners())
+        await asyncio.sleep(2)
+        return [generation for generation in list_generations(mesh) if generation != 0x100]
+
+    assert run_large_mesh(scenario) == [0x110] * 6
+
+
+def test_readers_without_the_object_api_are_replaced() -> None:
+    """Guard against nodes that trust a reader that hears nothing any more."""
+
+    async def scenario(mesh: DirectMesh) -> list[int]:
+        for index, node in enumerate(mesh.nodes):
+            if node.plane.is_reading:
+                mesh.fetches[index].unreachable = True
+                mesh.fetches[index].wake()
+        mesh.write_configuration("00000110", listeners=build_large_listeners())
+        await asyncio.sleep(2)
+        return list_generations(mesh)
+
+    assert run_large_mesh(scenario) == [0x110] * 10
+
+
+def test_a_difference_that_does_not_fit_is_replaced_by_the_whole() -> None:
+    """Guard against a node that asks for the same useless difference for ever."""
+
+    async def scenario(mesh: DirectMesh) -> int:
+        index = next(i for i, node in enumerate(mesh.nodes) if not node.plane.is_reading)
+        node = mesh.nodes[index]
+        current = node.board.snapshot.value
+        assert current is not None
+        spoilt = current.routes[:-1]
+        node.plane.history.current = current._replace(routes=spoilt)
+        mesh.write_configuration("00000110", listeners=build_large_listeners())
+        await asyncio.sleep(2)
+        return list_generations(mesh)[index]
+
+    assert run_large_mesh(scenario) == 0x110
+
+
+def test_readers_are_the_nodes_with_fast_links() -> None:
+    """Guard against a slow link that carries every version for its neighbours."""
+    records = [
+        build_node_record(vm=f"vm-{n}", availability_zone="a", read_ms=read_ms)
+        for n, read_ms in enumerate((512, 0, 64, 128))
+    ]
+    records.append(build_node_record(vm="vm-9", availability_zone="b", read_ms=1))
+
+    def choose(silent: set[str]) -> list[str]:
+        chosen = choose_readers(records, availability_zone="a", silent=silent)
+        return [record.vm for record in chosen]
+
+    assert choose(set()) == ["vm-2", "vm-3"]
+    assert choose({"vm-2"}) == ["vm-3", "vm-0"]
+
+
+def test_large_availability_zones_have_more_readers() -> None:
+    """Guard against readers that too many nodes ask."""
+    records = [build_node_record(vm=f"vm-{n}", availability_zone="a") for n in range(100)]
+    assert len(choose_readers(records, availability_zone="a", silent=())) == 4
+
+
 def test_a_storm_of_large_configurations_is_not_read_version_by_version() -> None:
     """Guard against slow links that carry every version of a large configuration."""
 
     async def scenario(mesh: DirectMesh) -> tuple[list[int], int]:
-        document = build_configuration()
-        rule = document["listeners"][0]["rules"][0]
-        document["listeners"][0]["rules"] += [
-            rule | {"name": f"r-{n}", "match": {"prefix": f"/idle-{n}/"}} for n in range(900)
-        ]
-        mesh.write_configuration("00000100", listeners=document["listeners"])
+        listeners = build_large_listeners()
+        mesh.write_configuration("00000100", listeners=listeners)
         await asyncio.sleep(3)
         sent = mesh.fetches[0].versions_sent
         for number in range(30):
-            mesh.write_configuration(f"{0x101 + number:08x}", listeners=document["listeners"])
+            mesh.write_configuration(f"{0x101 + number:08x}", listeners=listeners)
             await asyncio.sleep(0.2)
         await asyncio.sleep(2)
         return list_generations(mesh), mesh.fetches[0].versions_sent - sent
