--- a/src/ibiswick/_internal/direct/instances.py
+++ b/src/ibiswick/_internal/direct/instances.py
@@ -15,15 +15,13 @@
     """Say what a backend server is and whether it takes calls.
 
     `born` is its start in milliseconds since 1970; `sequence` grows with each heartbeat of one
-    start. `cold_s` is how much longer the backend server works slowly after its start.
+    start.
     """
 
     instance: str
     service: str
-    availability_zone: str
     slots: int
     leaving: bool
-    cold_s: float
     born: int
     sequence: int
 
--- a/src/ibiswick/_internal/direct/settings.py
+++ b/src/ibiswick/_internal/direct/settings.py
@@ -32,4 +32,3 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
-    first_start: bool = False
--- a/src/ibiswick/_internal/platform/fields.py
+++ b/src/ibiswick/_internal/platform/fields.py
@@ -86,10 +86,6 @@
             self.note(path, "a number that is not negative", value)
         return float(value)
 
-    def read_flag(self, table: Any, path: str, *, default: bool) -> bool:
-        """Read true or false."""
-        return bool(self._find(table, path, bool, "true or false", default))
-
     def read_seconds(self, table: Any, path: str, default: Any = _MISSING) -> float:
         """Read a time with its unit, in seconds."""
         text = self._find(table, path, str, "a time with its unit", default)
--- a/src/ibiswick/_internal/platform/registry.py
+++ b/src/ibiswick/_internal/platform/registry.py
@@ -52,14 +52,14 @@
     heartbeat = Heartbeat(
         instance=instance,
         service=reader.read_text(value, "service"),
-        availability_zone=reader.read_text(value, "zone"),
         slots=reader.read_integer(value, "capacity", least=1),
         leaving=state == "draining",
-        # How much longer the backend server works slowly after its start.
-        cold_s=reader.read_seconds(value, "warmup_left", "0s"),
         born=reader.read_integer(value, "born", 0),
         sequence=reader.read_integer(value, "sequence"),
     )
+    # Checked only: the node knows its address and availability zone, and sees how fast calls end.
     reader.read_text(value, "address")
+    reader.read_text(value, "zone")
+    reader.read_seconds(value, "warmup_left", "0s")
     reader.finish()
     return heartbeat
--- a/src/ibiswick/_internal/platform/settings.py
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -60,7 +60,6 @@
         retry_ratio=reader.read_number(bounds, "bounds.retry_budget_ratio"),
         retry_window_s=reader.read_seconds(bounds, "bounds.budget_window"),
         retry_slack=reader.read_number(bounds, "bounds.budget_slack"),
-        first_start=reader.read_flag(document, "bootstrap", default=False),
     )
     reader.finish()
     return settings
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -68,10 +68,8 @@
     heartbeat = Heartbeat(
         instance="i-1",
         service="dukkan-masa",
-        availability_zone="ege-bir",
         slots=6,
         leaving=False,
-        cold_s=0.0,
         born=1000,
         sequence=1,
     )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -122,7 +122,7 @@
 def test_a_heartbeat_is_decoded() -> None:
     """Guard against backend servers that are known under another state or number of slots."""
     beat = decode_beat(build_beat(state="draining"))
-    assert beat == Heartbeat("i-7f", "counter", "ege-bir", 6, True, 1.5, 1782054605000, 4)
+    assert beat == Heartbeat("i-7f", "counter", 6, True, 1782054605000, 4)
 
 
 @pytest.mark.parametrize(
