--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -34,8 +34,8 @@
 LARGE_CONFIGURATION_GATHER_S = 1.2
 MEMBERS_GATHER_S = 0.5
 SMALL_FLEET = 20
-# From this many nodes on, few of them follow the object API; each change of a member wakes those
-# that do.
+# From this many nodes on, few of them follow the object API, since each change of a member wakes
+# those that do. In a smaller fleet two readers in each availability zone are a third of the nodes.
 LARGE_FLEET = 40
 # The other nodes ask a reader this often; changes are due in 2 s.
 READER_POLL_S = 0.5
@@ -46,8 +46,9 @@
 READER_GRACE_S = 1.2
 # A reader that has failed is asked again after this time.
 SILENT_S = 5.0
+# Three readers can be asked in a row before a change is due.
 READER_TIMEOUT_S = 0.7
-# Readers that are asked in a row until one answers: both of this availability zone and another one.
+# Readers that are asked in a row until one answers: two of this availability zone and another one.
 MAX_QUESTIONS = 3
 # A node that has found so many readers silent, two of them elsewhere, reads itself.
 MAX_SILENT = 4
@@ -98,7 +99,7 @@
         self.configuration = ConfigurationHolder(board=board, decode=decode)
         # When a reader last confirmed what this node has.
         self._confirmed_at = clock()
-        # Whether this node follows the configuration in the object API itself.
+        # Whether this node follows the object API itself.
         self.is_reading = True
         # Readers that have not answered, until when they are not asked.
         self._silent: dict[str, float] = {}
@@ -187,7 +188,7 @@
         share = self._board.fleet_size.value / SMALL_FLEET
         return MEMBERS_GATHER_S * max(1.0, share)
 
-    # Configuration
+    # Sources: the object API, or readers
 
     def _apply_configuration(self, listing: Listing, complete: bool) -> None:
         written = [item.value for item in listing.objects if item.key == self._key]
