--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -23,6 +23,7 @@
     * `lose_answers`: so many of the next writes take effect without an answer.
     * `history_from`: watches from an earlier revision are answered 410.
     * `page`: objects in one page of a list.
+    * `calls_per_s`: calls beyond so many in a second are refused with 429.
     * `delay_s`: how long a read of the configuration takes to arrive.
 
     A watch sends each version of an object, as many as there were; `versions_sent` counts those of
@@ -37,6 +38,10 @@
         self.history_from = 0
         self.page = 500
         self.delay_s = 0.0
+        self.calls_per_s: int | None = None
+        self.refused = 0
+        self._second = 0
+        self._calls_of_second = 0
         self.versions_sent = 0
         self.calls: list[tuple[str, str]] = []
         self._wake = asyncio.Event()
@@ -50,6 +55,9 @@
             raise NotSentError("refused")
         if self.status:
             return self._answer(self.status, {})
+        if self._is_over_rate():
+            self.refused += 1
+            return self._answer(429, {})
         path, _, text = target.partition("?")
         query = dict(urllib.parse.parse_qsl(text))
         key = path.removeprefix("/objects/")
@@ -69,6 +77,13 @@
             return self._answer(404, {}) if found is None else self._answer_object(key)
         return self._list(key, query.get("after", ""))
 
+    def _is_over_rate(self) -> bool:
+        second = int(asyncio.get_running_loop().time())
+        if second != self._second:
+            self._second, self._calls_of_second = second, 0
+        self._calls_of_second += 1
+        return self.calls_per_s is not None and self._calls_of_second > self.calls_per_s
+
     def wake(self) -> None:
         """Let the pending watches look for changes that another writer made."""
         self._wake.set()
--- a/tests/test_direct_plane.py
+++ b/tests/test_direct_plane.py
@@ -240,6 +240,26 @@
     assert run_mesh(scenario) == [13, 13, 13]
 
 
+def test_calls_beyond_the_rate_of_the_object_api_are_made_later() -> None:
+    """Guard against a node that gives up, or that repeats refused calls without a pause."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], int, int]:
+        for fetch in mesh.fetches:
+            fetch.calls_per_s = 2
+            fetch.history_from = mesh.store.revision + 10
+            fetch.wake()
+        mesh.write_configuration("0000000d")
+        await asyncio.sleep(6)
+        refused = [fetch.refused for fetch in mesh.fetches]
+        return list_generations(mesh), min(refused), max(refused)
+
+    generations, least, most = run_mesh(scenario)
+    assert generations == [13, 13, 13]
+    assert least >= 1
+    # Each of the two followers waits for 0.4 s at least after a refusal.
+    assert most <= 2 * 6 / 0.4
+
+
 def test_a_lost_answer_is_settled_by_reading() -> None:
     """Guard against a node that never notices that its entry has been written."""
 
