--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -295,6 +295,11 @@
         if state in self._ejected or not self._knows(state):
             return None
         period_s = min(UNREACHABLE_LIMIT_S, UNREACHABLE_BASE_S * 2**state.ejections)
+        return self._eject(state, period_s, now=now, reason=reason)
+
+    def _eject(
+        self, state: EndpointState, period_s: float, *, now: float, reason: str
+    ) -> HealthChange:
         state.ejections += 1
         state.ejected_until = now + period_s
         self._ejected.append(state)
@@ -331,11 +336,7 @@
         if not self._knows(state):
             return None
         period_s = min(EJECT_LIMIT_S, EJECT_BASE_S * 2**state.ejections)
-        state.ejections += 1
-        state.ejected_until = now + period_s
-        self._ejected.append(state)
-        self._partition()
-        return HealthChange("ejected", state.endpoint, reason, period_s)
+        return self._eject(state, period_s, now=now, reason=reason)
 
     def readmit(self, *, now: float) -> Sequence[HealthChange]:
         """Readmit the endpoints whose period has passed.
--- a/src/ibiswick/_internal/control/configuration.py
+++ b/src/ibiswick/_internal/control/configuration.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from ..configuration.snapshots import ApplyOutcome, Delta, apply_delta, decide_apply
+from ..configuration.snapshots import ApplyOutcome, decide_apply
 from ..shared.errors import BaseMismatchError, SnapshotError
 from ..shared.records import Refusal, Snapshot
 from .context import Context
 from .messages import DeltaSnapshot, FullSnapshot
-from .relay import SnapshotHistory
+from .relay import SnapshotHistory, read_snapshot
 
 
 class Configuration:
@@ -40,7 +40,7 @@
         if message.generation <= self.generation:
             return False
         try:
-            offered = self._apply_delta(message)
+            offered = read_snapshot(message, held=self.held)
         except SnapshotError as error:
             if not isinstance(error, BaseMismatchError):
                 self._refuse(Refusal(message.generation, error.code, error.detail))
@@ -69,11 +69,6 @@
         self._ctx.log("info", "floor-confirmed", floor=floor, rule=rule)
         self._publish()
 
-    def _apply_delta(self, message: DeltaSnapshot) -> Snapshot:
-        if self.held is None:
-            raise BaseMismatchError("this node has no snapshot")
-        return apply_delta(self.held, Delta(*message))
-
     def _publish(self) -> None:
         snapshot = self.held
         if snapshot is None or self.floor is None or snapshot.generation < self.floor:
--- a/src/ibiswick/_internal/control/relay.py
+++ b/src/ibiswick/_internal/control/relay.py
@@ -4,7 +4,8 @@
 
 from collections import OrderedDict
 
-from ..configuration.snapshots import compute_delta
+from ..configuration.snapshots import Delta, apply_delta, compute_delta
+from ..shared.errors import BaseMismatchError
 from ..shared.records import Snapshot
 from .messages import DeltaSnapshot, FullSnapshot
 
@@ -12,6 +13,18 @@
 KEPT_BASES = 4
 
 
+def read_snapshot(update: FullSnapshot | DeltaSnapshot, *, held: Snapshot | None) -> Snapshot:
+    """Return the snapshot that a message carries; raise SnapshotError.
+
+    BaseMismatchError says that a difference is for another snapshot than the one held.
+    """
+    if isinstance(update, FullSnapshot):
+        return Snapshot(*update)
+    if held is None:
+        raise BaseMismatchError("this node has no snapshot")
+    return apply_delta(held, Delta(*update))
+
+
 class SnapshotHistory:
     """Keep the newest snapshot of one workspace and a few older ones as bases of differences."""
 
--- a/src/ibiswick/_internal/direct/configuration.py
+++ b/src/ibiswick/_internal/direct/configuration.py
@@ -4,9 +4,9 @@
 
 from typing import Any, NamedTuple, Protocol
 
-from ..configuration.snapshots import ApplyOutcome, Delta, apply_delta, decide_apply, reuse_routes
+from ..configuration.snapshots import ApplyOutcome, decide_apply, reuse_routes
 from ..control.messages import DeltaSnapshot, FullSnapshot
-from ..control.relay import SnapshotHistory
+from ..control.relay import SnapshotHistory, read_snapshot
 from ..shared.blackboard import Blackboard
 from ..shared.errors import BaseMismatchError, IbiswickError, SnapshotError
 from ..shared.logs import EventLog
@@ -81,7 +81,7 @@
         if current is not None and update.generation <= current.generation:
             return
         try:
-            snapshot = self._build_updated(update)
+            snapshot = read_snapshot(update, held=current)
         except BaseMismatchError as error:
             # A newer configuration has come from another node; the next question names it.
             _log.info("configuration-ignored", source=source, detail=error.detail)
@@ -95,13 +95,6 @@
         elif decision.refusal is not None:
             self._refuse(source, decision.refusal.code, decision.refusal.detail)
 
-    def _build_updated(self, update: FullSnapshot | DeltaSnapshot) -> Snapshot:
-        if isinstance(update, FullSnapshot):
-            return Snapshot(*update)
-        if self.history.current is None:
-            raise BaseMismatchError("this node has no configuration")
-        return apply_delta(self.history.current, Delta(*update))
-
     def _refuse(self, source: str, code: str, detail: str) -> None:
         self._needs_whole = True
         _log.warn("configuration-refused", source=source, code=code, detail=detail)
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -325,10 +325,10 @@
             # An earlier process of this node had a later clock.
             self._incarnation = own.incarnation + 1
             self._publish_own()
-        before = dict(self._table.records)
+        before = {record.vm: self._table.records.get(record.vm) for record in records}
         if self._table.merge(records, now=self._clock()):
             for record in records:
-                self._log_member(before.get(record.vm), record, source)
+                self._log_member(before[record.vm], record, source)
             self._update_endpoints()
 
     def _log_member(self, before: NodeRecord | None, record: NodeRecord, source: str) -> None:
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -24,6 +24,7 @@
     headreader,
     membership,
     parent,
+    relay,
     root,
 )
 from ibiswick._internal.shared.records import MemberState
@@ -325,7 +326,7 @@
     "apply a delta without checking its base and digest": (
         [
             (configuration, "decide_apply", apply_newer),
-            (configuration, "apply_delta", apply_to_any_base),
+            (relay, "apply_delta", apply_to_any_base),
         ],
         run_late_snapshots,
     ),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -32,7 +32,12 @@
     path.write_text("\n".join(lines) + "\n")
 
 
-def read_explanation(call_id: str, path: Path, capsys: pytest.CaptureFixture[str]) -> str:
+def explain_scenario(
+    scenario: Any, call_id: str, directory: Path, capsys: pytest.CaptureFixture[str]
+) -> str:
+    """Return what the command tells of one call of a scenario."""
+    path = directory / "log"
+    run_logged(scenario, path)
     assert explain(call_id, path) == 0
     return capsys.readouterr().out
 
@@ -53,8 +58,7 @@
         await mesh.call(1, "/book/1/ok", "refused1", method="POST")
         await asyncio.gather(*tasks)
 
-    run_logged(scenario, tmp_path / "log")
-    text = read_explanation("refused1", tmp_path / "log", capsys)
+    text = explain_scenario(scenario, "refused1", tmp_path, capsys)
     assert "event=call-not-admitted" in text
     assert "busy=6" in text
     assert "slots=6" in text
@@ -71,8 +75,7 @@
     async def scenario(mesh: DirectMesh) -> None:
         await mesh.call(0, "/book/1/crash", "lost1", method="POST")
 
-    run_logged(scenario, tmp_path / "log")
-    text = read_explanation("lost1", tmp_path / "log", capsys)
+    text = explain_scenario(scenario, "lost1", tmp_path, capsys)
     assert "event=call-not-answered" in text
     assert "instance=i-" in text
     assert "the connection was lost" in text
@@ -95,8 +98,7 @@
             await mesh.announce(index, "deregister", {})
         await mesh.call(2, "/book/1/ok", "left1", method="POST")
 
-    run_logged(scenario, tmp_path / "log")
-    text = read_explanation("left1", tmp_path / "log", capsys)
+    text = explain_scenario(scenario, "left1", tmp_path, capsys)
     assert "event=call-turned-away" in text
     assert "reason=leaving" in text
     assert "instance=i-" in text
