--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from ..shared.metrics import define_counter, define_histogram
+from ..shared.metrics import DurationCounts, define_counter, define_histogram
 
 _DOCS = {
     "ibiswick_calls_total": "Calls by what became of them on the caller port.",
@@ -26,10 +26,13 @@
 class CallCounts:
     """Hold the counts as plain integers and copy them to the metrics when these are read."""
 
-    __slots__ = ("_counts",)
+    __slots__ = ("_counts", "_durations")
 
     def __init__(self) -> None:
         self._counts: defaultdict[tuple[str, str, str], int] = defaultdict(int)
+        self._durations: defaultdict[tuple[str, str, str], DurationCounts] = defaultdict(
+            DurationCounts
+        )
 
     def add(self, metric: str, label: str, value: str) -> None:
         """Count one event."""
@@ -37,7 +40,7 @@
 
     def observe(self, metric: str, label: str, value: str, seconds: float) -> None:
         """Add one duration to a histogram."""
-        define_histogram(metric, _LATENCY_DOCS[metric]).observe({label: value}, seconds)
+        self._durations[metric, label, value].add(seconds)
 
     def get(self, metric: str, label: str, value: str) -> int:
         """Return one count."""
@@ -47,3 +50,5 @@
         """Copy every count to the metrics of the process."""
         for (metric, label, value), count in self._counts.items():
             define_counter(metric, _DOCS[metric]).set({label: value}, count)
+        for (metric, label, value), durations in self._durations.items():
+            durations.export(define_histogram(metric, _LATENCY_DOCS[metric]), {label: value})
