Guess durations by targets until calls have ended

The first duration of a kind is taken to be 0.3 of the time to its target, which is at the upper end of what the deployments have.

Ruled out: a longer fixed initial duration, since kinds differ by a factor of five.

--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -10,6 +10,9 @@
 # Weight of the newest observation in the mean duration of calls.
 DURATION_WEIGHT = 0.1
 INITIAL_DURATION_S = 0.02
+# Before any call of a kind has ended, its duration is taken to be this share of the time to its
+# target. The targets of the deployments are three to five times the work.
+GUESSED_SHARE = 0.3
 # Weight of the newest body in the mean time of arrival; uploads are rarer than calls.
 RECEIVE_WEIGHT = 0.2
 # Kinds of calls whose duration is remembered; a configuration has fewer kinds with traffic.
@@ -105,6 +108,8 @@
     ) -> Admitted | Queued | Refused:
         """Decide about a new call; without a claim only its deadline and the queue time count."""
         claim = claim or Claim(deadline)
+        if not self._durations and claim.kind:
+            self._duration_s = max(self._duration_s, self._expect_duration(now, claim))
         refused = self.check(now=now, claim=claim)
         if refused is not None:
             return refused
@@ -149,7 +154,7 @@
         """Tell whether a call that gets its slot at `start` may well miss its target."""
         if claim.target is None:
             return False
-        duration_s = self.estimate_duration(claim.kind)
+        duration_s = self._expect_duration(now, claim)
         latest = claim.target - DURATION_MARGIN * duration_s
         return start > max(latest, now + WAIT_SHARE * (claim.target - now))
 
@@ -160,7 +165,16 @@
             return until
         if not claim.kind:
             return min(until, claim.deadline)
-        return min(until, claim.deadline - self.estimate_duration(claim.kind))
+        return min(until, claim.deadline - self._expect_duration(now, claim))
+
+    def _expect_duration(self, now: float, claim: Claim) -> float:
+        """Return the seconds that a call probably holds its slot, by its target if need be."""
+        known = self._kinds.get(claim.kind)
+        if known is not None:
+            return known
+        if claim.target is None:
+            return self._duration_s
+        return max(self._duration_s, GUESSED_SHARE * (claim.target - now))
 
     def _displace(self, priority: int) -> int | None:
         """Remove the least urgent call if it is less urgent than the new one."""
