Use more of the retry budget, and keep part of it for the most urgent calls

Cause: when all backend servers of a service shed a share of their calls, nodes used 0.4 of the fleet's retry budget (a third of that for calls that had run), first come first served.

A repeated run now tells the node where it runs that it is one, and the calls that it makes are charged to the budget of the service that they go to. Of the budget enough for half of the most urgent calls is kept for these, at most half.

A fixed reserve of half was tried first: it left half of the budget unused on a service whose calls are nearly all of one urgency.

--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -7,10 +7,10 @@
 import os
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from ..shared.blackboard import Blackboard
+from ..shared.blackboard import Blackboard, RunningCall
 from ..shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
 from ..shared.logs import EventLog
 from ..shared.records import Phase, Route, ServicePolicy, Snapshot
@@ -194,16 +194,23 @@
         self.timed_out = False
         self.tried: tuple[EndpointState, ...] = ()
 
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether no other calls of the service are more urgent."""
+        return self.route.get("priority", 0) <= self.service.urgent_priority
+
 
 class ServiceState:
     """Hold what this node keeps of one service."""
 
-    __slots__ = ("balancer", "budget", "policy")
+    __slots__ = ("balancer", "budget", "policy", "urgent_priority")
 
     def __init__(self, policy: ServicePolicy, *, availability_zone: str, budget: Budget) -> None:
         self.policy = policy
         self.balancer = Balancer(availability_zone=availability_zone)
         self.budget = budget
+        # The smallest priority of the routes to the service: that of its most urgent calls.
+        self.urgent_priority = 0
 
 
 class Outbound:
@@ -292,7 +299,10 @@
         if self._names.attempt and not call.route["idempotent"]:
             await request.wait_turn()
         service = call.service
-        service.budget.note_call(now=call.arrived)
+        service.budget.note_call(now=call.arrived, is_urgent=call.is_urgent)
+        parent = self._find_parent(call)
+        if parent is not None and parent.is_repeat:
+            service.budget.charge(now=call.arrived)
         hedge_s = decide_hedge(
             idempotent=call.route["idempotent"],
             replayable=call.body.whole,
@@ -386,6 +396,8 @@
                 state.policy = policy
             for name in self._services.keys() - snapshot.services.keys():
                 del self._services[name]
+            for name, priority in find_urgent_priorities(snapshot.routes).items():
+                self._services[name].urgent_priority = priority
         self._snapshot = snapshot
         self._endpoints_version = endpoints.version
         for name, state in self._services.items():
@@ -447,6 +459,7 @@
             budget=service.budget,
             now=now,
             rng=self._rng,
+            is_urgent=call.is_urgent,
         )
         self._counts.add("ibiswick_retries_total", "reason", decision.reason)
         if decision.delay_s > 0:
@@ -640,16 +653,17 @@
             target_ms = max(0, target_ms - int((now - call.arrived) * 1000))
         patience_ms = POLL_PATIENCE_MS if call.polls > 0 else None
         priority = route.get("priority", 0)
-        parent_priority = self._find_parent_priority(call)
-        if parent_priority is not None:
+        parent = self._find_parent(call)
+        if parent is not None:
             # The call is as urgent as the running call that makes it, and late is better than
             # never: without it the work done so far is lost.
-            priority = max(priority, parent_priority)
+            priority = max(priority, parent.priority)
             target_ms = None
-        return Terms(route["id"], priority, target_ms, patience_ms)
+        is_repeat = call.attempts > 1 or (parent is not None and parent.is_repeat)
+        return Terms(route["id"], priority, target_ms, patience_ms, is_repeat)
 
-    def _find_parent_priority(self, call: Call) -> int | None:
-        """Return the priority of the running call that makes a call, None for a caller's call."""
+    def _find_parent(self, call: Call) -> RunningCall | None:
+        """Return the running call that makes a call, None for a caller's call."""
         separator = self._names.child_separator
         if not separator or separator not in call.head.attempt:
             return None
@@ -744,6 +758,17 @@
         )
 
 
+def find_urgent_priorities(routes: Iterable[Route]) -> dict[str, int]:
+    """Return the smallest priority of the routes to each service, which is the most urgent one."""
+    found: dict[str, int] = {}
+    for route in routes:
+        priority = route.get("priority", 0)
+        for part in route.get("split") or ({"service": route["service"]},):
+            name = part["service"]
+            found[name] = min(priority, found.get(name, priority))
+    return found
+
+
 def _get_wait(refusal: tuple[float, EndpointState]) -> float:
     return refusal[0]
 
