Bound bytes without end, and test the failures that operators have met

An exchange now ends when more has come that is no content than a head may have, a response that announces too much is refused at its head, and the bodies of a process share 64 MB.

--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -44,7 +44,16 @@
     read_response_head,
     write_framing,
 )
-from .pool import Exchange, ExchangeResponse, Headers, Limits, Remote, Request, read_whole
+from .pool import (
+    ByteBudget,
+    Exchange,
+    ExchangeResponse,
+    Headers,
+    Limits,
+    Remote,
+    Request,
+    read_whole,
+)
 from .serving import AbortResponseError, ServerRequest, read_problem_detail
 
 ALIVE_WITHIN_S = 1.0
@@ -71,7 +80,8 @@
     With `needs_instance`, calls are refused until a backend server has announced itself, and
     its slots and service count. `queue_s` of None leaves the wait to targets and deadlines.
     Responses up to `buffer_bytes` are passed on only when they are complete. With `receives_first`,
-    a large body is received before its call waits for a slot.
+    a large body is received before its call waits for a slot. `buffers` bounds what is held of all
+    responses together.
     """
 
     names: WireNames = NO_NAMES
@@ -80,6 +90,7 @@
     queue_s: float | None = DEFAULT_QUEUE_S
     length_per_slot: int = QUEUE_LENGTH_PER_SLOT
     buffer_bytes: int = 0
+    buffers: ByteBudget | None = None
 
 
 DEFAULT_POLICY = AdmissionPolicy()
@@ -408,6 +419,7 @@
             call_header=names.attempt,
             skip_others=bool(head.attempt),
             until_close=bool(names.attempt),
+            body_bytes=self._policy.buffer_bytes or None,
         )
         forwarded = self._build_request(request, head, body, deadline)
         try:
@@ -507,7 +519,9 @@
         """Pass a response on; raise ResponseLostError when it breaks off before it is begun."""
         self._watcher.note_connect_success()
         if self._policy.buffer_bytes and request.method != "HEAD":
-            body = await read_whole(response, limit=self._policy.buffer_bytes)
+            body = await read_whole(
+                response, limit=self._policy.buffer_bytes, budget=self._policy.buffers
+            )
             spent_ms = int((self._clock() - arrived) * 1000)
             headers = passed.headers + self._add_load(own, kind) + [(SPENT, b"%d" % spent_ms)]
             request.respond(response.status, headers, body)
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -47,6 +47,7 @@
     write_framing,
 )
 from .pool import (
+    ByteBudget,
     ConnectionsBusyError,
     Exchange,
     ExchangeResponse,
@@ -103,7 +104,8 @@
     an idempotent call is given up early enough for the others. With `needs_slash`, a path that ends
     where the prefix of a route does has no route. A body of more than `offered_bytes` is sent only
     once the other node has asked for it, since a node that refuses needs none. Such bodies take a
-    share of the link only, whose rate is `link_bytes_per_s` (0 if unknown).
+    share of the link only, whose rate is `link_bytes_per_s` (0 if unknown). `buffers` bounds what
+    is held of all responses together.
     """
 
     names: WireNames = NO_NAMES
@@ -118,6 +120,7 @@
     needs_slash: bool = False
     offered_bytes: int = MAX_REPLAY_BYTES
     link_bytes_per_s: int = 0
+    buffers: ByteBudget | None = None
 
 
 DEFAULT_POLICY = CallPolicy()
@@ -562,6 +565,7 @@
             None if idempotent else ALIVE_WITHIN_S,
             call_id,
             service.policy["connections"],
+            body_bytes=self._policy.buffer_bytes or None,
         )
         request = self._build_request(call, call_id, deadline, now, endpoint)
         remote = Remote(endpoint.host, endpoint.port, endpoint.vm)
@@ -581,7 +585,9 @@
         if not self._policy.buffer_bytes or call.method == "HEAD":
             return Attempt(Outcome.RESPONSE, "", response, head)
         try:
-            body = await read_whole(response, limit=self._policy.buffer_bytes)
+            body = await read_whole(
+                response, limit=self._policy.buffer_bytes, budget=self._policy.buffers
+            )
         except ExchangeTimeoutError as error:
             return Attempt(Outcome.TIMEOUT, str(error))
         except ResponseLostError as error:
--- a/src/ibiswick/_internal/calls/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -28,6 +28,10 @@
 # Bytes of a response that may wait for their reader before the connection stops reading.
 RESPONSE_HIGH_WATER_BYTES = 256 * 1024
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+# Bytes of framing for each byte of content that a response may have; a chunk of one byte takes six.
+MAX_FRAMING_RATIO = 8
+# More digits than any length that is allowed has.
+MAX_LENGTH_DIGITS = 18
 MAX_FETCH_BODY_BYTES = 64 * 1024 * 1024
 CONTINUE_STATUS = 100
 MAX_STATUS = 599
@@ -75,7 +79,8 @@
     direction. `alive_within_s` allows only connections that received bytes within that time, or
     new ones. `call_id` must come back in the header `call_header` of the response; a response with
     another id answers an earlier call and is skipped if `skip_others` is set. Without a length, the
-    body of a response is complete at the end of the connection if `until_close` is set.
+    body of a response is complete at the end of the connection if `until_close` is set. A response
+    that announces more than `body_bytes` is refused at its head.
     """
 
     deadline: float | None
@@ -87,6 +92,7 @@
     call_header: bytes = b"ibiswick-call"
     skip_others: bool = False
     until_close: bool = False
+    body_bytes: int | None = None
 
 
 class ExchangeResponse(Protocol):
@@ -190,6 +196,7 @@
 
     __slots__ = (
         "_bucket",
+        "_content_bytes",
         "_continued",
         "_deadline",
         "_due",
@@ -198,6 +205,7 @@
         "_limits",
         "_parser",
         "_reading_paused",
+        "_received_bytes",
         "_response",
         "_sender",
         "_sent_at",
@@ -239,6 +247,9 @@
         self._until_close = False
         self._reading_paused = False
         self._sent_at = 0.0
+        # Bytes received in the exchange, and those of them that are content of its response.
+        self._received_bytes = 0
+        self._content_bytes = 0
         self.head_bytes = 0
         self.received_at = 0.0
         self.progress_at = 0.0
@@ -274,6 +285,7 @@
             self.abort()
             return
         self.received_at = self.progress_at = time.monotonic()
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -285,9 +297,16 @@
             self._surplus = True
         if response.complete:
             self._finish(response)
+        elif self._is_flooded():
+            self.fail(ResponseLostError("more bytes than a response may have besides its content"))
         elif response.has_head:
             response.wake()
 
+    def _is_flooded(self) -> bool:
+        """Tell whether too much has come that is no content: framing, trailers, other responses."""
+        allowed = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_RATIO * self._content_bytes
+        return self._received_bytes - self._content_bytes > allowed
+
     def eof_received(self) -> None:
         response = self._response
         if response is not None and response.has_head and self._until_close:
@@ -328,6 +347,7 @@
         for name, value in response.headers:
             if name == b"content-length" or name == b"transfer-encoding":
                 has_length = True
+                self._check_length(name, value)
             elif name == b"keep-alive":
                 self.idle_limit_s = parse_keep_alive(value)
             if name == limits.call_header:
@@ -349,6 +369,15 @@
             self._surplus = not parser.should_keep_alive() or self._surplus
             response.complete = True
 
+    def _check_length(self, name: bytes, value: bytes) -> None:
+        """Raise ValueError when a response announces more than may be kept."""
+        limit = self._limits.body_bytes
+        if limit is None or name != b"content-length" or self._is_head:
+            return
+        # The parser has checked that the value is a number.
+        if int(value[:MAX_LENGTH_DIGITS]) > limit:
+            raise ValueError(f"the response announces more than {limit} bytes")
+
     def _skip(self, response: Response) -> None:
         """Ignore a response to an earlier call; the one that is awaited may follow."""
         response.headers.clear()
@@ -362,6 +391,7 @@
         if response is None or response.complete:
             self._surplus = True
         else:
+            self._content_bytes += len(body)
             response.add(body)
 
     def on_message_complete(self) -> None:
@@ -401,7 +431,7 @@
         self._skipping = self._until_close = False
         self._is_head = request.is_head
         self._surplus = False
-        self.head_bytes = 0
+        self.head_bytes = self._received_bytes = self._content_bytes = 0
         now = time.monotonic()
         self._sent_at = self.progress_at = now
         self._idle_s = limits.idle_s
@@ -559,16 +589,50 @@
     return None
 
 
-async def read_whole(response: ExchangeResponse, *, limit: int) -> bytes:
-    """Read the rest of a body; raise ResponseLostError when it breaks off or exceeds the limit."""
-    parts = [response.take()]
-    size = len(parts[0])
-    while part := await response.read():
-        parts.append(part)
-        size += len(part)
-        if size > limit:
-            response.close()
-            raise ResponseLostError("the response body is too large")
+class ByteBudget:
+    """Limit the bytes of bodies that a process collects at the same time.
+
+    >>> budget = ByteBudget(limit=10)
+    >>> budget.take(8), budget.take(8), budget.used
+    (True, False, 8)
+    """
+
+    __slots__ = ("limit", "used")
+
+    def __init__(self, *, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+
+    def take(self, size: int) -> bool:
+        """Count bytes that are kept; return False if there is no room for them."""
+        if self.used + size > self.limit:
+            return False
+        self.used += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Count bytes that are no longer kept."""
+        self.used -= size
+
+
+async def read_whole(
+    response: ExchangeResponse, *, limit: int, budget: ByteBudget | None = None
+) -> bytes:
+    """Read the rest of a body; raise ResponseLostError when it breaks off or exceeds a limit."""
+    budget = budget or ByteBudget(limit=limit)
+    parts: list[bytes] = []
+    size = 0
+    try:
+        part = response.take() or await response.read()
+        while part:
+            if size + len(part) > limit or not budget.take(len(part)):
+                response.close()
+                raise ResponseLostError("the response body is too large")
+            parts.append(part)
+            size += len(part)
+            part = await response.read()
+    finally:
+        budget.release(size)
     return b"".join(parts)
 
 
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -12,7 +12,7 @@
 from ..calls.heads import WireNames
 from ..calls.inbound import AdmissionPolicy, Inbound
 from ..calls.outbound import CallPolicy, Outbound
-from ..calls.pool import Pool, Remote
+from ..calls.pool import ByteBudget, Pool, Remote
 from ..calls.retries import Budget, RetryWindow
 from ..calls.serving import Listener, ServerRequest
 from ..shared.blackboard import Blackboard
@@ -36,6 +36,8 @@
 POLLS_OF_MANY = 5
 # Responses up to this size are held until they are complete, so that a failure can be told.
 BUFFER_BYTES = 8 * 1024 * 1024
+# All such responses together; the smallest VM gives a process 200 MB, of which it uses 30.
+BUFFERS_BYTES = 64 * 1024 * 1024
 # Larger bodies wait until a node asks for them; smaller ones cost less than the round trip.
 OFFERED_BYTES = 4 * 1024
 # A backend server's own failures of idempotent calls that another one may answer better.
@@ -114,6 +116,7 @@
         self._decode_announcement = decode_announcement
         self._instances = InstanceTable()
         self.counts = CallCounts()
+        buffers = ByteBudget(limit=BUFFERS_BYTES)
         self._peers = Pool(idle_limit_s=PEER_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
         self._backend = Pool(idle_limit_s=BACKEND_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
         self.plane = DirectPlane(
@@ -149,6 +152,7 @@
                 needs_slash=True,
                 offered_bytes=OFFERED_BYTES,
                 link_bytes_per_s=settings.link_bytes_per_s,
+                buffers=buffers,
             ),
             origin=settings.service,
         )
@@ -170,6 +174,7 @@
                 queue_s=None,
                 length_per_slot=QUEUE_LENGTH_PER_SLOT,
                 buffer_bytes=BUFFER_BYTES,
+                buffers=buffers,
             ),
         )
         self._caller = Listener(
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -29,13 +29,42 @@
 WORK_S = 0.02
 
 
+# Status, further headers and the bytes that follow without end.
+ENDLESS = {
+    "endless-head": ("200 OK", "", b"X-More: " + b"x" * 8000 + b"\r\n"),
+    "endless-header": ("200 OK", "X-More: ", b"x" * 8000),
+    "endless-body": (
+        "200 OK",
+        "Transfer-Encoding: chunked\r\n\r\n",
+        b"1f40\r\n" + b"x" * 8000 + b"\r\n",
+    ),
+    "endless-unframed": ("200 OK", "\r\n", b"x" * 8000),
+    "endless-extension": ("200 OK", "Transfer-Encoding: chunked\r\n\r\n1;a=", b"x" * 8000),
+    "endless-trailers": (
+        "200 OK",
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-More: x\r\n" * 800,
+    ),
+    "endless-interim": ("103 Early Hints", "\r\n", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 300),
+    "endless-junk": ("200 OK", "", b"\x00\xff" * 4000),
+    "announced": ("200 OK", "Content-Length: 999999999999\r\n\r\n", b"x" * 8000),
+    "drip": ("200 OK", "Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+    "endless-others": (
+        "200 OK",
+        "X-Others: follow\r\nContent-Length: 0\r\nIbiswick-Attempt-Id: other\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nIbiswick-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n" * 80,
+    ),
+}
+PIECE_S = 0.001
+
+
 class FakeBackendServer:
     """Run calls by what their path asks for, and record what ran.
 
     The last part of a path is a behaviour: `ok`, `slow`, `shed`, `fail`, `unsigned`, `crash`,
     `unframed`, `cut-unframed`, `extra`, or `late-extra`, which answers a second time later.
     `fail-then-shed` fails a call that has not run on any of the backend servers that share `ran`,
-    and sheds it after that.
+    and sheds it after that. Those in `ENDLESS` send bytes until the node closes the connection.
     """
 
     def __init__(
@@ -47,6 +76,9 @@
         self.service = service
         self.runs: Counter[str] = Counter()
         self.cancelled = 0
+        # Connections on which endless bytes were ended by the node, and the bytes sent on them.
+        self.closed_endless = 0
+        self.endless_bytes = 0
         self.running = 0
         self.peak = 0
         self.seen: list[dict[str, str]] = []
@@ -124,6 +156,8 @@
             self._transport.abort()
         elif behaviour == "fail":
             self._write("500 Failed", attempt, b"")
+        elif behaviour in ENDLESS:
+            self._server.loop.create_task(self._flood(attempt, *ENDLESS[behaviour]))
         elif behaviour == "unsigned":
             self._write("200 OK", attempt, content, signed=False)
         elif behaviour in ("unframed", "cut-unframed"):
@@ -140,6 +174,18 @@
                 loop = self._server.loop
                 loop.call_later(0.05, self._write, "200 OK", attempt, b"late extra")
 
+    async def _flood(self, attempt: str, status: str, headers: str, piece: bytes) -> None:
+        """Send a start and then the same bytes again and again until the connection is closed."""
+        start = f"HTTP/1.1 {status}\r\n"
+        if status.startswith("200"):
+            start = self._build_head(status, attempt).decode()
+        self._transport.write((start + headers).encode())
+        while not self._transport.is_closing():
+            self._transport.write(piece)
+            self._server.endless_bytes += len(piece)
+            await asyncio.sleep(PIECE_S)
+        self._server.closed_endless += 1
+
     def _build_head(self, status: str, attempt: str, *, signed: bool = True) -> bytes:
         signature = "Ibiswick-Response-Signature: s\r\n" if signed else ""
         return f"HTTP/1.1 {status}\r\nIbiswick-Attempt-Id: {attempt}\r\n{signature}".encode()
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,236 @@
+"""Check failures that operators of similar systems have met, on whole nodes.
+
+docs/decisions/failures.md names for each of them what prevents it here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tracemalloc
+from typing import Any
+
+import logbook
+import pytest
+
+from builders import build_node_record
+from call_network import VirtualLoop, run_virtual
+from direct_network import ENDLESS, DirectMesh, build_request
+from ibiswick._internal.calls.pool import MAX_RESPONSE_HEAD_BYTES, ByteBudget
+from ibiswick._internal.direct.exchange import PATH, ExchangeMessage, encode_message
+from ibiswick._internal.direct.node import BUFFER_BYTES, BUFFERS_BYTES
+
+logbook.NullHandler().push_application()
+
+# Most memory of the smallest VM's process that endless responses may take, above what it uses.
+MAX_GROWTH_BYTES = 100 * 1024 * 1024
+# Behaviours whose endless bytes are the content of a response.
+CONTENT = ("drip", "endless-body", "endless-unframed")
+# A deadline is kept within this time, which covers the way through both nodes.
+DEADLINE_MARGIN_S = 0.1
+
+
+class RawClient(asyncio.Protocol):
+    """Collect what a node sends."""
+
+    def __init__(self) -> None:
+        self.received = b""
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.received += data
+
+
+def run_mesh(services: list[str], scenario: Any) -> Any:
+    """Run a scenario on a mesh of nodes in virtual time."""
+
+    async def main(loop: VirtualLoop) -> Any:
+        mesh = DirectMesh(loop, services)
+        await mesh.start()
+        return await scenario(mesh)
+
+    return run_virtual(main)
+
+
+@pytest.mark.parametrize("behaviour", sorted(ENDLESS))
+def test_bytes_without_end_harm_no_other_call(behaviour: str) -> None:
+    """Guard against a backend server in trouble whose bytes take the memory or time of others."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, float, int, int, list[int]]:
+        backend = mesh.backends[0]
+        started = mesh.loop.time()
+        client = await mesh.call(0, f"/book/1/{behaviour}", "a1", method="POST")
+        elapsed_s = mesh.loop.time() - started
+        await asyncio.sleep(0.1)
+        after = [
+            (await mesh.call(0, "/book/1/ok", f"b{n}", method="POST")).status for n in range(3)
+        ]
+        return client.status, elapsed_s, backend.closed_endless, backend.endless_bytes, after
+
+    status, elapsed_s, closed, sent, after = run_mesh(["counter"], scenario)
+    assert status in (502, 504)
+    assert elapsed_s <= 1.0 + DEADLINE_MARGIN_S
+    assert closed == 1
+    # What is no content is cut as early as a head is.
+    kept = BUFFER_BYTES if behaviour in CONTENT else 0
+    assert sent <= kept + 4 * MAX_RESPONSE_HEAD_BYTES
+    assert after == [200] * 3
+
+
+def test_many_endless_bodies_stay_within_the_memory_of_a_node() -> None:
+    """Guard against a process that is ended because each of its slots collects a large body."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[set[int], int]:
+        tracemalloc.start()
+        calls = [
+            mesh.call(0, "/book/1/endless-body", f"a{n}", method="POST")
+            for n in range(6 * len(mesh.nodes))
+        ]
+        clients = await asyncio.gather(*calls)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        return {client.status for client in clients}, peak
+
+    statuses, peak = run_mesh(["counter"] * 3, scenario)
+    assert statuses <= {502, 503, 504}
+    # Three callers' and backend servers' nodes and the fake servers share this process.
+    assert peak <= MAX_GROWTH_BYTES * 3
+    assert MAX_GROWTH_BYTES >= BUFFERS_BYTES
+
+
+def test_bodies_that_are_given_up_make_room_for_others() -> None:
+    """Guard against a budget of bytes that shrinks with each failure."""
+    budget = ByteBudget(limit=10)
+    assert budget.take(6)
+    assert not budget.take(6)
+    budget.release(6)
+    assert budget.take(10)
+
+
+MALFORMED = (
+    b"",
+    b"\r\n\r\n\r\n",
+    b"GET / HTTP/9.9\r\n\r\n",
+    b"GET /read/1/ok HTTP/1.1\r\nHost: ficu95.example\r\nContent-Length: -1\r\n\r\n",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+    b"POST /exchange HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+    b"POST /instances/i-0/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n[]",
+    b"POST /instances/i-0/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nnull",
+    b"POST /instances//heartbeat HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 20,
+    b"A" * 200_000,
+)
+
+
+def list_ports(mesh: DirectMesh) -> list[int]:
+    settings = mesh.nodes[0].settings
+    addresses = (
+        settings.caller,
+        settings.peer,
+        settings.readiness,
+        settings.registry,
+        settings.exchange,
+    )
+    return [address.port for address in addresses]
+
+
+def test_malformed_bytes_end_no_process() -> None:
+    """Guard against one message, or one unexpected error, that takes a whole node down."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], bool]:
+        rng = random.Random(4711)
+        messages = [*MALFORMED, *(rng.randbytes(rng.randrange(1, 400)) for _ in range(20))]
+        for port in list_ports(mesh):
+            for message in messages:
+                client = await mesh.connect(port)
+                assert client is not None
+                client.transport.write(message)
+                await asyncio.sleep(0.001)
+                client.transport.abort()
+        statuses = [
+            (await mesh.call(n % 2, "/book/1/ok", f"a{n}", method="POST")).status for n in range(4)
+        ]
+        return statuses, any(task.done() for task in mesh.tasks)
+
+    assert run_mesh(["counter", "counter"], scenario) == ([200] * 4, False)
+
+
+WILD_RECORDS = (
+    {"slots": -7},
+    {"slots": 10**6, "host": "not an address"},
+    {"peer_port": 10**9},
+    {"incarnation": 2**62, "accepting": False},
+    {"born": -1, "instance": "i-1\r\nHost: x"},
+    {"link_bytes_per_s": -5},
+    {"service": ""},
+)
+
+
+@pytest.mark.parametrize("change", WILD_RECORDS)
+def test_a_valid_message_with_wild_values_stops_no_calls(change: dict[str, Any]) -> None:
+    """Guard against a record of another node that breaks the choice of endpoints everywhere."""
+
+    async def scenario(mesh: DirectMesh) -> list[int]:
+        record = build_node_record(vm="vm-9", service="counter", incarnation=5)._replace(**change)
+        node = mesh.nodes[0]
+        message = ExchangeMessage("vm-9", 0, "", False, b"", records=(record,))
+        body = encode_message(message)
+        head = f"POST {PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+        client = await mesh.connect(node.settings.exchange.port)
+        assert client is not None
+        client.transport.write(head + body)
+        await client.done
+        # Calls that are sent to the record's endpoint fail and set it aside.
+        for number in range(6):
+            await mesh.call(0, "/read/1/ok", f"r{number}")
+        return [(await mesh.call(0, "/book/1/ok", f"b{n}", method="POST")).status for n in range(6)]
+
+    assert run_mesh(["counter", "counter"], scenario) == [200] * 6
+
+
+def test_requests_read_at_the_moment_of_the_stop_are_answered() -> None:
+    """Guard against a planned stop that cuts off requests which have just been accepted.
+
+    Requests arrive just before and after the signal, several on each connection.
+    """
+
+    async def scenario(mesh: DirectMesh) -> list[bytes]:
+        answers = []
+        for number in range(12):
+            client = RawClient()
+            await mesh.loop.create_connection(
+                lambda client=client: client, "127.0.0.1", mesh.nodes[0].settings.caller.port
+            )
+            requests = [build_request("/read/1/ok", f"p{number}-{part}") for part in range(3)]
+            client.transport.write(b"".join(requests))
+            if number == 5:
+                mesh.nodes[0].board.drain.set(True)
+            answers.append(client)
+        await mesh.tasks[0]
+        return [client.received for client in answers]
+
+    for received in run_mesh(["counter", "counter", "archive"], scenario):
+        # What is not answered comes behind an answer that closes the connection.
+        answers = received.count(b"HTTP/1.1 200") + received.count(b"HTTP/1.1 503")
+        assert answers >= 1
+        assert answers == 3 or b"connection: close" in received.lower()
+
+
+def test_a_silent_node_keeps_its_calls_and_its_place() -> None:
+    """Guard against running work that is repeated because its node is slow to report."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, int, int]:
+        silent = mesh.nodes[1]
+        running = asyncio.create_task(mesh.call(0, "/upload/1/slow", "a1", method="POST"))
+        await asyncio.sleep(0.05)
+        mesh.loop.silence(silent.settings.exchange.port)
+        mesh.fetches[1].unreachable = True
+        client = await running
+        await asyncio.sleep(20)
+        known = sum(len(found) for found in mesh.nodes[0].board.endpoints.value.values())
+        return client.status, mesh.count_runs("a1"), known
+
+    assert run_mesh(["counter", "archive"], scenario) == (200, 1, 2)
