Bound the exponent of set-aside periods, and count calls to the object API by purpose

Cause: the period of an endpoint doubles with each ejection and was compared with its limit afterwards. After about a thousand ejections, hours with a machine that stays away, the product no longer fits a float: the error failed every call to the service. The test fails without the bound for both.

--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -54,6 +54,8 @@
 # An endpoint that can't be reached, or whose node refuses every call, is left alone so long.
 UNREACHABLE_BASE_S = 0.5
 UNREACHABLE_LIMIT_S = 4.0
+# Doublings after which any period has reached its limit.
+MAX_DOUBLINGS = 10
 # A fault of health reports tends to hit many at once; below this share they are ignored.
 TRUSTED_READY_SHARE = 0.5
 
@@ -357,7 +359,7 @@
             return None
         if not self._knows(state):
             return None
-        period_s = min(EJECT_LIMIT_S, EJECT_BASE_S * 2**state.ejections)
+        period_s = _grow_period(EJECT_BASE_S, state.ejections, limit_s=EJECT_LIMIT_S)
         return self._eject(state, period_s, now=now, reason=reason)
 
     def take_due_probes(self, *, now: float) -> list[EndpointState]:
@@ -391,4 +393,12 @@
 
 def _find_unreachable_period(state: EndpointState) -> float:
     """Return the seconds for which an unreachable endpoint is left alone."""
-    return min(UNREACHABLE_LIMIT_S, UNREACHABLE_BASE_S * 2**state.ejections)
+    return _grow_period(UNREACHABLE_BASE_S, state.ejections, limit_s=UNREACHABLE_LIMIT_S)
+
+
+def _grow_period(base_s: float, ejections: int, *, limit_s: float) -> float:
+    """Double a period with each ejection, up to a limit.
+
+    An endpoint that stays away is set aside for days on end, so the exponent is bounded.
+    """
+    return min(limit_s, base_s * 2 ** min(ejections, MAX_DOUBLINGS))
--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -15,7 +15,7 @@
     "ibiswick_hedges_total": "Hedged attempts by result.",
     "ibiswick_ejections_total": "Changes of endpoints between ejected and readmitted, by event.",
     "ibiswick_requests_rejected_total": "Malformed or unsupported requests by code.",
-    "ibiswick_platform_calls_total": "Calls to the object API by method and result.",
+    "ibiswick_platform_calls_total": "Calls to the object API by method, kind and result.",
 }
 _LATENCY_DOCS = {
     "ibiswick_call_seconds": "Time from the arrival of a call to its final answer, by result.",
--- a/src/ibiswick/_internal/direct/counted.py
+++ b/src/ibiswick/_internal/direct/counted.py
@@ -15,32 +15,37 @@
 
 
 class CountedPlatform:
-    """Pass calls on to another platform and count them by method and result."""
+    """Pass calls on to another platform and count them by purpose and result.
+
+    The purpose is the method and the kind of the objects; reads that may be stale count apart,
+    since they cost less.
+    """
 
     def __init__(self, *, platform: Platform, counts: CallCounts) -> None:
         self._platform = platform
         self._counts = counts
 
-    async def _count(self, method: str, call: Awaitable[T]) -> T:
+    async def _count(self, method: str, key: str, call: Awaitable[T], *, stale: bool = False) -> T:
+        purpose = f"{'stale-' if stale else ''}{method}:{key.partition('/')[0]}"
         try:
             result = await call
         except PlatformError as error:
-            self._counts.add(METRIC, "result", f"{method}:{error.code}")
+            self._counts.add(METRIC, "result", f"{purpose}:{error.code}")
             raise
-        self._counts.add(METRIC, "result", f"{method}:ok")
+        self._counts.add(METRIC, "result", f"{purpose}:ok")
         return result
 
     async def get(self, key: str) -> StoredObject | None:
         """Return one object, or None when it is missing."""
-        return await self._count("get", self._platform.get(key))
+        return await self._count("get", key, self._platform.get(key))
 
     async def put(self, key: str, value: Any, *, expected: int | None = None) -> int:
         """Write one object and return its version."""
-        return await self._count("put", self._platform.put(key, value, expected=expected))
+        return await self._count("put", key, self._platform.put(key, value, expected=expected))
 
     async def delete(self, key: str, *, expected: int | None = None) -> None:
         """Delete one object; a missing one is no error."""
-        await self._count("delete", self._platform.delete(key, expected=expected))
+        await self._count("delete", key, self._platform.delete(key, expected=expected))
 
     async def list(
         self,
@@ -53,11 +58,11 @@
     ) -> Listing:
         """Return objects under a prefix in order of their keys."""
         call = self._platform.list(prefix, after=after, limit=limit, reverse=reverse, stale=stale)
-        return await self._count("list", call)
+        return await self._count("list", prefix, call, stale=stale)
 
     async def watch(
         self, prefix: str, *, after: int, timeout_s: float, stale: bool = False
     ) -> Listing:
         """Wait for writes under a prefix newer than a revision."""
         call = self._platform.watch(prefix, after=after, timeout_s=timeout_s, stale=stale)
-        return await self._count("watch", call)
+        return await self._count("watch", prefix, call, stale=stale)
--- a/tests/test_call_decisions.py
+++ b/tests/test_call_decisions.py
@@ -273,3 +273,20 @@
         assert balancer.note_failure(balancer.states[0], now=0.0, reason="not-run") is None
     balancer.note_success(balancer.states[1], latency_s=0.02)
     assert set(count_choices(balancer)) == {"vm-1"}
+
+
+@pytest.mark.parametrize("needs_probe", [False, True])
+def test_an_endpoint_may_be_away_for_days(needs_probe: bool) -> None:
+    """Guard against a period that grows beyond any number, which then fails every call."""
+    balancer = Balancer(availability_zone="zone-1")
+    balancer.update([build_endpoint(n) for n in range(4)], build_policy(), now=0.0)
+    state = balancer.states[0]
+    for hour in range(3000):
+        now = hour * 3600.0
+        if needs_probe:
+            balancer.note_unreachable(state, now=now, reason="silent", needs_probe=True)
+            assert balancer.take_due_probes(now=now + 3000.0) == [state]
+        else:
+            for _ in range(3):
+                balancer.note_failure(state, now=now, reason="lost")
+            assert balancer.readmit(now=now + 3000.0)
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -274,7 +274,7 @@
         'ibiswick_calls_total{result="answered"}',
         'ibiswick_calls_total{result="not-run"}',
         'ibiswick_call_seconds_bucket{le="0.1",result="answered"}',
-        'ibiswick_platform_calls_total{result="watch:ok"}',
+        'ibiswick_platform_calls_total{result="stale-watch:meshnodes:ok"}',
         "ibiswick_generation 12",
         "ibiswick_members 4",
     ):
