--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -43,10 +43,8 @@
 # A backend server's own failures of idempotent calls that another one may answer better.
 RETRY_STATUSES = frozenset((500, 502, 503))
 # Share of the fleet's retry ratio that nodes use. Calls that a repeated call makes are charged to
-# the budget of the service that they go to, but they can't be refused when it is used up. With two
-# services of equal load, and 1.4 such calls for each call of one at the other, both shares come
-# to 0.92 of what the other may get.
-RETRY_SHARE = 0.44
+# the budget of the service that they go to; the rest is for those that come when it is used up.
+RETRY_SHARE = 0.6
 # Targets and deadlines limit the wait for a slot; this only bounds the memory.
 QUEUE_LENGTH_PER_SLOT = 8
 UPLOAD_IDLE_S = 10.0
