Return to the former retry budget and number of questions for a slot

Asking fewer nodes where most have no slot let calls be refused as late while others had slots; the budget that charged the calls of repeated runs left less for lookups, whose second send saves a whole run.

--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -50,8 +50,7 @@
 
     A smaller `priority` goes first. A response after `target` is worth less, so a call waits only
     as long as it will most probably meet it; without a target it may wait up to its deadline.
-    `patience_s` is the longest wait that the caller accepts. `is_repeat` tells that the call had
-    reached a backend server before.
+    `patience_s` is the longest wait that the caller accepts.
     """
 
     deadline: float | None = None
@@ -59,7 +58,6 @@
     priority: int = 0
     target: float | None = None
     patience_s: float | None = None
-    is_repeat: bool = False
 
 
 class _Waiting(NamedTuple):
--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -43,8 +43,6 @@
 OVERHEAD_WEIGHT = 0.2
 # The typical overhead of a service is that of some dozens of calls.
 TYPICAL_OVERHEAD_WEIGHT = 0.05
-# The share of nodes without a free slot is that of about twenty questions.
-BUSY_WEIGHT = 0.05
 # Crossing availability zones costs latency and bytes; large bodies cost the more.
 REMOTE_FACTOR = 1.2
 REMOTE_FACTOR_LARGE = 3.0
@@ -122,8 +120,6 @@
         self.typical_latency_s = INITIAL_LATENCY_S
         # Seconds that a question for a slot typically takes.
         self.typical_overhead_s = 0.0
-        # Share of first questions for a slot that found none.
-        self.busy_share = 0.0
         self._typical_durations: dict[str, float] = {}
 
     @property
@@ -303,10 +299,6 @@
         state.overhead_s += OVERHEAD_WEIGHT * (seconds - state.overhead_s)
         self.typical_overhead_s += TYPICAL_OVERHEAD_WEIGHT * (seconds - self.typical_overhead_s)
 
-    def note_question(self, *, busy: bool) -> None:
-        """Note whether the first node that a call asked had no slot."""
-        self.busy_share += BUSY_WEIGHT * (busy - self.busy_share)
-
     def note_unreachable(
         self, state: EndpointState, *, now: float, reason: str, needs_probe: bool = False
     ) -> HealthChange | None:
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -72,27 +72,24 @@
     """Say how a call may use slots; times are in milliseconds from its arrival.
 
     A smaller `priority` goes first. After `target_ms` a response is worth little. `patience_ms` is
-    the longest wait for a slot that the calling node accepts before it asks elsewhere. `is_repeat`
-    tells that the call had reached a backend server before.
+    the longest wait for a slot that the calling node accepts before it asks elsewhere.
     """
 
     kind: str = ""
     priority: int = 0
     target_ms: int | None = None
     patience_ms: int | None = None
-    is_repeat: bool = False
 
 
 def format_terms(terms: Terms) -> bytes:
     """Write terms as the value of a header.
 
-    >>> parse_terms(format_terms(Terms("status", 2, 300, None, True)))
-    Terms(kind='status', priority=2, target_ms=300, patience_ms=None, is_repeat=True)
+    >>> parse_terms(format_terms(Terms("status", 2, 300, None)))
+    Terms(kind='status', priority=2, target_ms=300, patience_ms=None)
     """
     target = "" if terms.target_ms is None else terms.target_ms
     patience = "" if terms.patience_ms is None else terms.patience_ms
-    fields = f"{terms.priority},{target},{patience},{terms.is_repeat:d},{terms.kind}"
-    return fields.encode("latin-1", "replace")
+    return f"{terms.priority},{target},{patience},{terms.kind}".encode("latin-1", "replace")
 
 
 def parse_terms(value: bytes) -> Terms:
@@ -101,11 +98,11 @@
     >>> parse_terms(b"soon") == parse_terms(b"") == Terms()
     True
     """
-    fields = value.decode("latin-1").split(",", 4)
-    if len(fields) < 5 or not fields[0].isdigit():
+    fields = value.decode("latin-1").split(",", 3)
+    if len(fields) < 4 or not fields[0].isdigit():
         return Terms()
     target, patience = (int(field[:9]) if field.isdigit() else None for field in fields[1:3])
-    return Terms(fields[4], int(fields[0][:4]), target, patience, fields[3] == "1")
+    return Terms(fields[3], int(fields[0][:4]), target, patience)
 
 
 class RequestHead(NamedTuple):
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from ..shared.blackboard import Blackboard, RunningCall
+from ..shared.blackboard import Blackboard
 from ..shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
 from ..shared.logs import EventLog
 from ..shared.records import LocalInstance, Phase, Snapshot
@@ -262,7 +262,7 @@
         started = self._clock()
         self._counts.observe("ibiswick_slot_wait_seconds", "result", "admitted", started - arrived)
         reached = False
-        self._board.running[head.attempt] = RunningCall(claim.priority, claim.is_repeat)
+        self._board.running[head.attempt] = claim.priority
         try:
             reached = await self._forward(request, body, head, own, claim, arrived)
         finally:
@@ -575,4 +575,4 @@
     terms = parse_terms(head.terms)
     target = None if terms.target_ms is None else now + terms.target_ms / 1000
     patience_s = None if terms.patience_ms is None else terms.patience_ms / 1000
-    return Claim(deadline, terms.kind, terms.priority, target, patience_s, terms.is_repeat)
+    return Claim(deadline, terms.kind, terms.priority, target, patience_s)
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -7,10 +7,10 @@
 import os
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
-from ..shared.blackboard import Blackboard, RunningCall
+from ..shared.blackboard import Blackboard
 from ..shared.errors import (
     ExchangeError,
     ExchangeTimeoutError,
@@ -96,8 +96,6 @@
 
 # A probe needs a new connection and one response, two round trips.
 PROBE_S = 0.5
-# From this share of refused questions on, fewer are asked. Below it, two in three find a slot.
-BUSY_SHARE = 0.5
 
 _log = EventLog(component="outbound")
 
@@ -213,23 +211,16 @@
         self.timed_out = False
         self.tried: tuple[EndpointState, ...] = ()
 
-    @property
-    def is_urgent(self) -> bool:
-        """Tell whether no other calls of the service are more urgent."""
-        return self.route.get("priority", 0) <= self.service.urgent_priority
-
 
 class ServiceState:
     """Hold what this node keeps of one service."""
 
-    __slots__ = ("balancer", "budget", "policy", "urgent_priority")
+    __slots__ = ("balancer", "budget", "policy")
 
     def __init__(self, policy: ServicePolicy, *, availability_zone: str, budget: Budget) -> None:
         self.policy = policy
         self.balancer = Balancer(availability_zone=availability_zone)
         self.budget = budget
-        # The smallest priority of the routes to the service: that of its most urgent calls.
-        self.urgent_priority = 0
 
 
 class Outbound:
@@ -319,10 +310,7 @@
         if self._names.attempt and not call.route["idempotent"]:
             await request.wait_turn()
         service = call.service
-        service.budget.note_call(now=call.arrived, is_urgent=call.is_urgent)
-        parent = self._find_parent(call.head)
-        if parent is not None and parent.is_repeat:
-            service.budget.charge(now=call.arrived)
+        service.budget.note_call(now=call.arrived)
         hedge_s = decide_hedge(
             idempotent=call.route["idempotent"],
             replayable=call.body.whole,
@@ -390,17 +378,12 @@
             body=body,
             arrived=now,
             deadline=deadline,
-            polls=self._count_polls(service, head),
+            polls=self._count_polls(service),
         )
 
-    def _count_polls(self, service: ServiceState, head: RequestHead) -> int:
-        """Return how many nodes may be asked before a call waits at one of them."""
+    def _count_polls(self, service: ServiceState) -> int:
         is_small = len(service.balancer.states) <= SMALL_SERVICE
-        polls = self._policy.polls if is_small else self._policy.polls_of_many
-        if self._find_parent(head) is not None:
-            # A running call that fails for want of this one has used its slot for nothing.
-            return polls
-        return reduce_polls(polls, busy_share=service.balancer.busy_share)
+        return self._policy.polls if is_small else self._policy.polls_of_many
 
     def _refresh(self) -> None:
         """Take over a new snapshot or new endpoints."""
@@ -421,8 +404,6 @@
                 state.policy = policy
             for name in self._services.keys() - snapshot.services.keys():
                 del self._services[name]
-            for name, priority in find_urgent_priorities(snapshot.routes).items():
-                self._services[name].urgent_priority = priority
         self._snapshot = snapshot
         self._endpoints_version = endpoints.version
         for name, state in self._services.items():
@@ -484,7 +465,6 @@
             budget=service.budget,
             now=now,
             rng=self._rng,
-            is_urgent=call.is_urgent,
         )
         self._counts.add("ibiswick_retries_total", "reason", decision.reason)
         if decision.delay_s > 0:
@@ -538,8 +518,6 @@
         finally:
             state.in_flight -= 1
         self._counts.add("ibiswick_attempts_total", "outcome", attempt.outcome)
-        if self._policy.polls and len(call.tried) == 1:
-            balancer.note_question(busy=attempt.wait_s is not None)
         if self._policy.polls and not attempt.reached:
             call.attempts -= 1
             if attempt.wait_s is not None:
@@ -710,21 +688,20 @@
         if call.polls > 0:
             patience_ms = compute_patience_ms(call.service.balancer.typical_overhead_s)
         priority = route.get("priority", 0)
-        parent = self._find_parent(call.head)
-        if parent is not None:
+        parent_priority = self._find_parent_priority(call)
+        if parent_priority is not None:
             # The call is as urgent as the running call that makes it, and late is better than
             # never: without it the work done so far is lost.
-            priority = max(priority, parent.priority)
+            priority = max(priority, parent_priority)
             target_ms = None
-        is_repeat = call.attempts > 1 or (parent is not None and parent.is_repeat)
-        return Terms(route["id"], priority, target_ms, patience_ms, is_repeat)
+        return Terms(route["id"], priority, target_ms, patience_ms)
 
-    def _find_parent(self, head: RequestHead) -> RunningCall | None:
-        """Return the running call that makes a call, None for a caller's call."""
+    def _find_parent_priority(self, call: Call) -> int | None:
+        """Return the priority of the running call that makes a call, None for a caller's call."""
         separator = self._names.child_separator
-        if not separator or separator not in head.attempt:
+        if not separator or separator not in call.head.attempt:
             return None
-        return self._board.running.get(head.attempt.rpartition(separator)[0])
+        return self._board.running.get(call.head.attempt.rpartition(separator)[0])
 
     def _note_outcome(
         self,
@@ -827,30 +804,6 @@
     return max(POLL_PATIENCE_MS, int(question_s * 1000))
 
 
-def reduce_polls(polls: int, *, busy_share: float) -> int:
-    """Return how many nodes are asked for a slot, fewer when most of them have none.
-
-    Where all slots are in use a call waits in any case, and each question only takes of its time.
-
-    >>> [reduce_polls(5, busy_share=share) for share in (0.0, 0.5, 0.8, 1.0)]
-    [5, 5, 2, 1]
-    """
-    if polls <= 1 or busy_share <= BUSY_SHARE:
-        return polls
-    return max(1, round(polls * (1 - busy_share) / (1 - BUSY_SHARE)))
-
-
-def find_urgent_priorities(routes: Iterable[Route]) -> dict[str, int]:
-    """Return the smallest priority of the routes to each service, which is the most urgent one."""
-    found: dict[str, int] = {}
-    for route in routes:
-        priority = route.get("priority", 0)
-        for part in route.get("split") or ({"service": route["service"]},):
-            name = part["service"]
-            found[name] = min(priority, found.get(name, priority))
-    return found
-
-
 def _get_wait(refusal: tuple[float, EndpointState]) -> float:
     return refusal[0]
 
--- a/src/ibiswick/_internal/calls/retries.py
+++ b/src/ibiswick/_internal/calls/retries.py
@@ -16,10 +16,8 @@
 BUDGET_REFILL_PER_S = 0.5
 BACKOFF_BASE_S = 0.002
 BACKOFF_LIMIT_S = 0.05
-# Of the budget, so much is kept for the most urgent calls of a service: enough to repeat half of
-# them, but no more than half of the budget.
-RESERVED_PER_URGENT_CALL = 0.5
-MAX_RESERVED_SHARE = 0.5
+# A call that runs again makes its own calls again, which count as repeats at the services called.
+RERUN_COST = 3.0
 # Returning callers are spread over at least this time, a few durations of typical calls.
 RETRY_SPREAD_S = 0.1
 # Sum of the latencies between the choice of an endpoint and the arrival at a backend server.
@@ -52,14 +50,14 @@
 class Budget(Protocol):
     """Limit the extra attempts of one service."""
 
-    def note_call(self, *, now: float, is_urgent: bool = True) -> None:
+    def note_call(self, *, now: float) -> None:
         """Count one call from a caller."""
 
-    def take(self, *, now: float, is_urgent: bool = True) -> bool:
-        """Take one extra attempt, if one is left that is not kept for more urgent calls."""
+    def allows(self, *, now: float) -> bool:
+        """Tell whether an extra attempt could be made."""
 
-    def charge(self, *, now: float) -> None:
-        """Count an attempt that is extra because the call that makes it runs once more."""
+    def take(self, *, now: float, cost: float = 1.0) -> bool:
+        """Take one extra attempt of a cost, if so much is left."""
 
 
 class RetryWindow:
@@ -76,47 +74,42 @@
     True
     """
 
-    __slots__ = ("_calls", "_ratio", "_retries", "_slack", "_urgent", "_window_s")
+    __slots__ = ("_calls", "_ratio", "_retries", "_slack", "_spent", "_window_s")
 
     def __init__(self, *, ratio: float, window_s: float, slack: Callable[[], float]) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
-        self._calls: deque[tuple[float, bool]] = deque()
-        # How many of the calls are urgent.
-        self._urgent = 0
-        self._retries: deque[float] = deque()
+        self._calls: deque[float] = deque()
+        self._retries: deque[tuple[float, float]] = deque()
+        self._spent = 0.0
 
-    def note_call(self, *, now: float, is_urgent: bool = True) -> None:
+    def note_call(self, *, now: float) -> None:
         """Count one call from a caller."""
-        self._calls.append((now, is_urgent))
-        self._urgent += is_urgent
+        self._calls.append(now)
         self._forget(now)
 
-    def take(self, *, now: float, is_urgent: bool = True) -> bool:
-        """Take one extra attempt, if one is left that is not kept for more urgent calls."""
+    def allows(self, *, now: float, cost: float = 1.0) -> bool:
+        """Tell whether an extra attempt of a cost could be made."""
         self._forget(now)
-        allowed = self._ratio * len(self._calls) + self._slack()
-        if not is_urgent:
-            allowed -= min(MAX_RESERVED_SHARE * allowed, RESERVED_PER_URGENT_CALL * self._urgent)
-        if len(self._retries) + 1 > allowed:
+        return self._spent + cost <= self._ratio * len(self._calls) + self._slack()
+
+    def take(self, *, now: float, cost: float = 1.0) -> bool:
+        """Take one extra attempt of a cost, if so much is left."""
+        if not self.allows(now=now, cost=cost):
             return False
-        self._retries.append(now)
+        self._retries.append((now, cost))
+        self._spent += cost
         return True
 
-    def charge(self, *, now: float) -> None:
-        """Count an attempt that is extra because the call that makes it runs once more."""
-        self._forget(now)
-        self._retries.append(now)
-
     def _forget(self, now: float) -> None:
         """Drop what lies before the window."""
-        while self._calls and self._calls[0][0] < now - self._window_s:
-            self._urgent -= self._calls.popleft()[1]
+        while self._calls and self._calls[0] < now - self._window_s:
+            self._calls.popleft()
         # An attempt may arrive later than it is counted here.
         limit = now - self._window_s - ARRIVAL_MARGIN_S
-        while self._retries and self._retries[0] < limit:
-            self._retries.popleft()
+        while self._retries and self._retries[0][0] < limit:
+            self._spent -= self._retries.popleft()[1]
 
 
 class RetryBudget:
@@ -133,25 +126,23 @@
         self._tokens = BUDGET_MINIMUM
         self._refilled_at = now
 
-    def note_call(self, *, now: float = 0.0, is_urgent: bool = True) -> None:
+    def note_call(self, *, now: float = 0.0) -> None:
         """Earn a share of a token by one call from a caller."""
         if self._tokens < BUDGET_MAXIMUM:
             self._tokens += BUDGET_RATIO
 
-    def take(self, *, now: float, is_urgent: bool = True) -> bool:
-        """Take one token for an extra attempt, if one is left that is not kept for urgent calls."""
+    def allows(self, *, now: float) -> bool:
+        """Tell whether there is a token for an extra attempt."""
         self._refill(now)
-        kept = 0.0 if is_urgent else MAX_RESERVED_SHARE * BUDGET_MINIMUM
-        if self._tokens < 1.0 + kept:
+        return self._tokens >= 1.0
+
+    def take(self, *, now: float, cost: float = 1.0) -> bool:
+        """Take one token for an extra attempt, if there is one; the cost does not matter."""
+        if not self.allows(now=now):
             return False
         self._tokens -= 1.0
         return True
 
-    def charge(self, *, now: float) -> None:
-        """Take one token even if there is none."""
-        self._refill(now)
-        self._tokens -= 1.0
-
     def _refill(self, now: float) -> None:
         elapsed = now - self._refilled_at
         self._refilled_at = now
@@ -176,12 +167,10 @@
     budget: Budget,
     now: float,
     rng: random.Random,
-    is_urgent: bool = True,
 ) -> RetryDecision:
     """Decide what follows an attempt.
 
-    `attempts` counts those made so far; `elsewhere` tells that an endpoint is left to try. Calls
-    that are not urgent leave a part of the budget to others.
+    `attempts` counts those made so far; `elsewhere` tells that an endpoint is left to try.
     """
     if outcome is Outcome.RESPONSE:
         return RetryDecision(False, 0.0, "answered")
@@ -195,7 +184,8 @@
     delay_s = 0.0 if is_moved else compute_backoff(attempts=attempts, rng=rng)
     if remaining_s - delay_s <= MIN_ATTEMPT_S:
         return RetryDecision(False, 0.0, "deadline")
-    if not budget.take(now=now, is_urgent=is_urgent):
+    cost = 1.0 if outcome is Outcome.NOT_RUN else RERUN_COST
+    if not budget.take(now=now, cost=cost):
         return RetryDecision(False, 0.0, "budget-exhausted")
     return RetryDecision(True, delay_s, outcome.value)
 
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -42,9 +42,8 @@
 OFFERED_BYTES = 4 * 1024
 # A backend server's own failures of idempotent calls that another one may answer better.
 RETRY_STATUSES = frozenset((500, 502, 503))
-# Share of the fleet's retry ratio that nodes use. Calls that a repeated call makes are charged to
-# the budget of the service that they go to; the rest is for those that come when it is used up.
-RETRY_SHARE = 0.6
+# Share of the fleet's retry ratio that nodes use; calls made by repeated calls use the rest.
+RETRY_SHARE = 0.4
 # Targets and deadlines limit the wait for a slot; this only bounds the memory.
 QUEUE_LENGTH_PER_SLOT = 8
 UPLOAD_IDLE_S = 10.0
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Generic, NamedTuple, TypeVar
+from typing import Generic, TypeVar
 
 from .records import (
     BackendHealth,
@@ -58,16 +58,6 @@
         return self.value
 
 
-class RunningCall(NamedTuple):
-    """Describe a call at the local backend server to the calls that it makes.
-
-    `is_repeat` tells that the call had reached a backend server before.
-    """
-
-    priority: int
-    is_repeat: bool = False
-
-
 class Blackboard:
     """Hold every cell of one node; docs/design.md names the writer of each."""
 
@@ -81,8 +71,9 @@
         # been looked up; written by the direct plane.
         self.earlier_instance: Cell[LocalInstance | None] = Cell(None)
         self.earlier_known: Cell[bool] = Cell(False)
-        # The calls at the local backend server by their ids; written where calls get their slots.
-        self.running: dict[bytes, RunningCall] = {}
+        # Priorities of the calls at the local backend server by their ids; written where calls get
+        # their slots.
+        self.running: dict[bytes, int] = {}
         # Nodes that share limits which hold for the whole fleet, this one included.
         self.fleet_size: Cell[int] = Cell(1)
         # Whether this node takes calls of other nodes for its backend server; written by the node's
