Keep calls in their availability zone while they would be in time there

Cause: endpoints were compared by expected completion with a factor of 1.2 for another zone, so most calls went to the fastest backend servers wherever these were.

Now an endpoint is chosen by the chance that the call misses its target there. The bytes of a call, learned by kind, count as a chance that is given up for staying in the zone. A call also waits up to a tenth of its target in its own zone before it asks elsewhere.

Ruled out: exchange between nodes, which takes a few hundred bytes a second and node.

The test of silent machines now runs in one zone: in two, the machine that falls silent gets no calls at all, and its bound on lost calls would prove nothing.

--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -46,6 +46,18 @@
 # Crossing availability zones costs latency and bytes; large bodies cost the more.
 REMOTE_FACTOR = 1.2
 REMOTE_FACTOR_LARGE = 3.0
+# A call lasts longer than x times its mean with a chance of exp(-DURATION_DECAY * x): one in ten
+# lasts over twice the mean.
+DURATION_DECAY = 1.15
+# How much greater a chance to miss its target a call takes for each kilobyte that stays in its
+# availability zone, and in all. A late answer is worth less than one in time by more than half; at
+# 0.02 a lookup of 6 KB crosses zones if that saves one in eight from being late.
+CROSSING_RISK_PER_KB = 0.02
+CROSSING_RISK_LIMIT = 0.25
+# Heads of a request and its response between two nodes, and the size of a call before any is known.
+HEADS_BYTES = 1000
+INITIAL_CALL_BYTES = 4000
+SIZE_WEIGHT = 0.05
 # Single failures are common; above this share an endpoint is avoided.
 FAILED_SHARE = 0.05
 MAX_FAILED_SHARE = 0.95
@@ -121,6 +133,8 @@
         # Seconds that a question for a slot typically takes.
         self.typical_overhead_s = 0.0
         self._typical_durations: dict[str, float] = {}
+        # Mean bytes of a call of a kind, bodies of the request and of the response.
+        self._sizes: dict[str, float] = {}
 
     @property
     def states(self) -> tuple[EndpointState, ...]:
@@ -223,11 +237,13 @@
         rng: random.Random,
         exclude: tuple[EndpointState, ...] = (),
         large: bool = False,
+        target_s: float | None = None,
     ) -> EndpointState | None:
-        """Choose the endpoint that will probably complete a call of a kind first.
+        """Choose the endpoint that will probably complete a call of a kind in time.
 
-        One in `exclude` is chosen only if there is no other, and one that was set aside only if all
-        are.
+        `target_s` is the time left to the call's target. Without one, or with none left, it is the
+        endpoint that will probably complete the call first. One in `exclude` is chosen only if
+        there is no other, and one that was set aside only if all are.
         """
         known = self._states.values()
         admitted = [s for s in known if s not in self._ejected] if self._ejected else list(known)
@@ -241,14 +257,36 @@
             return None
         states = self._sample(states, rng)
         factor = REMOTE_FACTOR_LARGE if large else REMOTE_FACTOR
-
-        def estimate(state: EndpointState) -> tuple[float, float]:
-            is_remote = state.endpoint.availability_zone != self._availability_zone
+        crossing_risk = self._find_crossing_risk(kind)
+
+        def estimate(state: EndpointState) -> tuple[float, float, float]:
+            is_remote = not self.is_local(state)
+            risk = 0.0
+            if target_s is not None:
+                risk = self._estimate_risk(state, kind, now, target_s)
+                risk += crossing_risk if is_remote else 0.0
             completion_s = self._estimate_completion(state, kind, now)
-            return (completion_s * (factor if is_remote else 1.0), rng.random())
+            return (risk, completion_s * (factor if is_remote else 1.0), rng.random())
 
         return min(states, key=estimate)
 
+    def is_local(self, state: EndpointState) -> bool:
+        """Tell whether an endpoint is in this node's availability zone."""
+        return state.endpoint.availability_zone == self._availability_zone
+
+    def _find_crossing_risk(self, kind: str) -> float:
+        """Return how much of a chance to be late outweighs the bytes that cross zones."""
+        size_bytes = HEADS_BYTES + self._sizes.get(kind, INITIAL_CALL_BYTES)
+        return min(CROSSING_RISK_LIMIT, CROSSING_RISK_PER_KB * size_bytes / 1000)
+
+    def _estimate_risk(self, state: EndpointState, kind: str, now: float, target_s: float) -> float:
+        """Return the chance that a call misses its target there, failures included."""
+        duration_s = self._estimate_duration(state, kind, now)
+        waiting_s = self._estimate_occupancy(state, now) * duration_s
+        left_s = target_s - state.overhead_s - waiting_s
+        late = math.exp(-DURATION_DECAY * max(0.0, left_s) / max(duration_s, LATENCY_FLOOR_S))
+        return 1.0 - (1.0 - late) * (1.0 - self._find_failed_share(state))
+
     def _sample(self, states: list[EndpointState], rng: random.Random) -> list[EndpointState]:
         """Return a few endpoints at random, so that nodes with the same knowledge differ."""
         if len(states) <= SMALL_SERVICE:
@@ -262,15 +300,21 @@
     def _estimate_completion(self, state: EndpointState, kind: str, now: float) -> float:
         """Return the seconds that a call would probably take there, failures included."""
         duration_s = self._estimate_duration(state, kind, now)
+        occupancy = self._estimate_occupancy(state, now)
+        completion_s = state.overhead_s + duration_s * (1 + occupancy)
+        return completion_s / (1 - self._find_failed_share(state)) ** 2
+
+    def _estimate_occupancy(self, state: EndpointState, now: float) -> float:
+        """Return the time that calls ahead add, as a share of a call's own duration."""
         slots = max(1, state.endpoint.slots)
         load = state.in_flight
         if now - state.load_at < LOAD_FRESH_S:
             load = max(load, state.load)
         waiting = max(0, load + 1 - slots)
-        failed_share = state.failed_share if state.failed_share > FAILED_SHARE else 0.0
-        crowding = CROWDING * min(load, slots) / slots
-        completion_s = state.overhead_s + duration_s * (1 + waiting / slots + crowding)
-        return completion_s / (1 - failed_share) ** 2
+        return waiting / slots + CROWDING * min(load, slots) / slots
+
+    def _find_failed_share(self, state: EndpointState) -> float:
+        return state.failed_share if state.failed_share > FAILED_SHARE else 0.0
 
     def _estimate_duration(self, state: EndpointState, kind: str, now: float) -> float:
         typical_s = self._typical_durations.get(kind, INITIAL_LATENCY_S)
@@ -293,6 +337,13 @@
         typical_s += TYPICAL_DURATION_WEIGHT * (duration_s - typical_s)
         self._typical_durations[kind] = typical_s
 
+    def note_size(self, kind: str, size_bytes: int) -> None:
+        """Note the bytes of the bodies of a call, its request's and its response's."""
+        if kind in self._sizes:
+            self._sizes[kind] += SIZE_WEIGHT * (size_bytes - self._sizes[kind])
+        elif len(self._sizes) < MAX_KINDS:
+            self._sizes[kind] = size_bytes
+
     def note_overhead(self, state: EndpointState, seconds: float) -> None:
         """Note what a call took besides its slot."""
         seconds = max(0.0, seconds)
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -19,7 +19,7 @@
     SilentPathError,
 )
 from ..shared.logs import EventLog
-from ..shared.records import Endpoint, Phase, Route, ServicePolicy, Snapshot
+from ..shared.records import Phase, Route, ServicePolicy, Snapshot
 from .answers import (
     Answer,
     build_answer,
@@ -93,6 +93,9 @@
 # A call whose slot is free sooner waits, since asking another node takes about as long. On a busy
 # link that is longer than this, and what questions have taken counts.
 POLL_PATIENCE_MS = 10
+# Share of the time to its target that a call waits in its own availability zone before it asks
+# elsewhere. A short wait costs less than the bytes that cross, and slots are soon free.
+LOCAL_PATIENCE_SHARE = 0.1
 
 # A probe needs a new connection and one response, two round trips.
 PROBE_S = 0.5
@@ -556,6 +559,7 @@
             rng=self._rng,
             exclude=call.tried,
             large=call.route.get("prefers_local", False),
+            target_s=_find_target(call, now),
         )
 
     async def _send(
@@ -586,7 +590,7 @@
             service.policy["connections"],
             body_bytes=self._policy.buffer_bytes or None,
         )
-        request = self._build_request(call, call_id, deadline, now, endpoint)
+        request = self._build_request(call, call_id, deadline, now, state)
         remote = Remote(endpoint.host, endpoint.port, endpoint.vm)
         try:
             response = await self._exchange(remote, request, limits)
@@ -638,9 +642,9 @@
         return Attempt(Outcome.LOST, detail, None, head)
 
     def _build_request(
-        self, call: Call, call_id: bytes, deadline: float | None, now: float, endpoint: Endpoint
+        self, call: Call, call_id: bytes, deadline: float | None, now: float, state: EndpointState
     ) -> Request:
-        head, body = call.head, call.body
+        head, body, endpoint = call.head, call.body, state.endpoint
         lines = [
             call.method.encode(),
             b" ",
@@ -656,7 +660,7 @@
             call.service_name.encode(),
         ]
         if self._names.attempt:
-            terms = self._build_terms(call, now)
+            terms = self._build_terms(call, state, now)
             lines += (self._origin, b"\r\n" + TERMS + b": ", format_terms(terms))
         if deadline is not None:
             remaining_ms = shrink_deadline_ms(now=now, deadline=deadline)
@@ -678,15 +682,17 @@
             await_continue=True,
         )
 
-    def _build_terms(self, call: Call, now: float) -> Terms:
+    def _build_terms(self, call: Call, state: EndpointState, now: float) -> Terms:
         """Say how urgent the call is and how long it may wait for a slot."""
         route = call.route
-        target_ms = route.get("target_ms")
-        if target_ms is not None:
-            target_ms = max(0, target_ms - int((now - call.arrived) * 1000))
+        target_s = _find_target(call, now)
+        target_ms = None if target_s is None else max(0, int(target_s * 1000))
         patience_ms = None
         if call.polls > 0:
-            patience_ms = compute_patience_ms(call.service.balancer.typical_overhead_s)
+            balancer = call.service.balancer
+            patience_ms = compute_patience_ms(balancer.typical_overhead_s)
+            if target_ms is not None and balancer.is_local(state):
+                patience_ms = max(patience_ms, int(LOCAL_PATIENCE_SHARE * target_ms))
         priority = route.get("priority", 0)
         parent_priority = self._find_parent_priority(call)
         if parent_priority is not None:
@@ -720,6 +726,9 @@
                 balancer.note_overhead(state, now - started - attempt.head.spent_ms / 1000)
         status = attempt.response.status if attempt.response is not None else 0
         if attempt.outcome is Outcome.RESPONSE and status not in FAILURE_STATUSES:
+            if attempt.body is not None:
+                size_bytes = len(call.body.start) + len(attempt.body)
+                balancer.note_size(call.route["id"], size_bytes)
             balancer.note_success(state, latency_s=now - started)
             return
         if attempt.outcome is Outcome.TIMEOUT:
@@ -804,6 +813,12 @@
     return max(POLL_PATIENCE_MS, int(question_s * 1000))
 
 
+def _find_target(call: Call, now: float) -> float | None:
+    """Return the seconds left to the target of a call, None if its route has none."""
+    target_ms = call.route.get("target_ms")
+    return None if target_ms is None else target_ms / 1000 - (now - call.arrived)
+
+
 def _get_wait(refusal: tuple[float, EndpointState]) -> float:
     return refusal[0]
 
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -467,3 +467,20 @@
     assert served >= 18
     # The heads of up to four exchanges for each call take the room of three bodies.
     assert bodies <= served + 3
+
+
+def test_a_short_burst_waits_in_its_zone() -> None:
+    """Guard against calls that cross zones because a slot is free some milliseconds sooner there.
+
+    The pattern: a zone's backend server has six slots and gets a burst of eight short calls. One
+    call of each burst goes to the archive, whose share of the route is a tenth.
+    """
+
+    async def scenario(mesh: DirectMesh) -> list[int]:
+        for burst in range(10):
+            calls = [mesh.call(0, "/read/1/ok", f"b{burst}-{n}") for n in range(8)]
+            await asyncio.gather(*calls)
+            await asyncio.sleep(0.2)
+        return [backend.runs.total() for backend in mesh.backends]
+
+    assert run_mesh(scenario, ["counter", "counter", "archive"]) == [72, 0, 8]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -46,11 +46,11 @@
         self.received += data
 
 
-def run_mesh(services: list[str], scenario: Any) -> Any:
+def run_mesh(services: list[str], scenario: Any, *, zones: int = 2) -> Any:
     """Run a scenario on a mesh of nodes in virtual time."""
 
     async def main(loop: VirtualLoop) -> Any:
-        mesh = DirectMesh(loop, services)
+        mesh = DirectMesh(loop, services, zones=zones)
         await mesh.start()
         return await scenario(mesh)
 
@@ -280,7 +280,8 @@
             await make_bursts(mesh, "b")
         return lost, runs, mesh.backends[1].runs.total()
 
-    lost, before, after = run_mesh(["counter", "counter", "archive"], scenario)
+    # In one zone, so that both counters get calls.
+    lost, before, after = run_mesh(["counter", "counter", "archive"], scenario, zones=1)
     # The calls of the first burst can't know.
     assert 1 <= lost <= BURST
     assert after > before
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -95,6 +95,56 @@
     assert zones == {"here"}
 
 
+ZONE_TARGET_S = 0.6
+
+
+def choose_in_time(
+    balancer: Balancer, rng: random.Random, *, target_s: float = ZONE_TARGET_S
+) -> EndpointState:
+    state = balancer.choose_fastest(kind="read", now=0.1, rng=rng, target_s=target_s)
+    assert state is not None
+    return state
+
+
+def test_calls_stay_in_their_zone_while_they_are_in_time_there() -> None:
+    """Guard against answers that cross availability zones without any use for the caller.
+
+    The pattern: backend servers of one service differ in speed, and the nodes of each zone send
+    most calls to the fastest ones, wherever these are. Seen on cprv-mesh: 58 MB between zones in
+    32 s, where all the calls' bodies together have 60 MB.
+    """
+    balancer = build_balancer(5, local=1)
+    for state in balancer.states[1:]:
+        balancer.note_report(state, Load(0, 0, 6, 60, 0), "read", now=0.0)
+    rng = random.Random(1)
+    assert all(balancer.is_local(choose_in_time(balancer, rng)) for _ in range(50))
+
+
+@pytest.mark.parametrize(
+    ("duration_ms", "in_flight", "failed_percent"), [(400, 0, 0), (100, 40, 0), (100, 0, 40)]
+)
+def test_calls_leave_their_zone_when_they_would_be_late_or_fail_there(
+    duration_ms: int, in_flight: int, failed_percent: int
+) -> None:
+    """Guard against calls that stay at a slow, full or failing backend server of their zone."""
+    balancer = build_balancer(5, local=1)
+    load = Load(in_flight, 0, 6, duration_ms, failed_percent)
+    balancer.note_report(balancer.states[0], load, "read", now=0.0)
+    rng = random.Random(1)
+    assert not any(balancer.is_local(choose_in_time(balancer, rng)) for _ in range(50))
+
+
+def test_larger_calls_need_a_better_reason_to_leave_their_zone() -> None:
+    """Guard against one rule for calls of 1 KB and of 20 KB, which cost unequally much to send."""
+    found = []
+    for size_bytes in (500, 20_000):
+        balancer = build_balancer(5, local=1)
+        balancer.note_size("read", size_bytes)
+        balancer.note_report(balancer.states[0], Load(0, 0, 6, 280, 0), "read", now=0.0)
+        found.append(balancer.is_local(choose_in_time(balancer, random.Random(1))))
+    assert found == [False, True]
+
+
 @pytest.mark.parametrize("trouble", ["slow", "failing", "far"])
 def test_endpoints_in_trouble_are_avoided(trouble: str) -> None:
     """Guard against calls that go to backend servers which are slow, failing or badly reached."""
