Follow the era of the object API beside its revisions

Cause: after the store has come back from an older copy, its revisions are given out again. Nodes that read it themselves compared revisions only: a new version at reused revisions was never seen, an entry that the copy lacked wasn't written again, a backend server that had left was shown as accepting, and a node that was cut off during the return never learnt of it.

The era is part of the object API's interface now. A rise lets nodes list anew and write again what the copy lacks; what is in effect stays. Nodes tell each other the era. A process that starts in a later era asks two nodes for what it had announced, and keeps and announces that its backend server leaves.

Ruled out: that a conditional write alone could do harm; it ends in a conflict and a read.

Not covered: the product's own mode with zone roots, leases, tokens and the head.

--- a/src/ibiswick/_internal/direct/configuration.py
+++ b/src/ibiswick/_internal/direct/configuration.py
@@ -72,6 +72,15 @@
             self._apply(snapshot, limits, source)
         elif snapshot.generation > current.generation:
             self._apply(reuse_routes(current, snapshot), limits, source)
+        elif snapshot.digest != current.digest:
+            # The store came back from an older copy, or a generation was given out twice.
+            _log.warn(
+                "configuration-older",
+                source=source,
+                generation=snapshot.generation,
+                current=current.generation,
+                digest=snapshot.digest,
+            )
 
     def take(
         self, update: FullSnapshot | DeltaSnapshot, limits: CallerLimits, *, source: str
--- a/src/ibiswick/_internal/direct/counted.py
+++ b/src/ibiswick/_internal/direct/counted.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeVar
 
 from ..calls.callcounts import CallCounts
+from ..shared.blackboard import Cell
 from ..shared.errors import PlatformError
 from ..shared.objectapi import Listing, Platform, StoredObject
 
@@ -17,13 +18,23 @@
 class CountedPlatform:
     """Pass calls on to another platform and count them by purpose and result.
 
+    The cell `era` gets the highest era of the store that any answer has told.
+
     The purpose is the method and the kind of the objects; reads that may be stale count apart,
     since they cost less.
     """
 
-    def __init__(self, *, platform: Platform, counts: CallCounts) -> None:
+    def __init__(
+        self, *, platform: Platform, counts: CallCounts, era: Cell[int] | None = None
+    ) -> None:
         self._platform = platform
         self._counts = counts
+        self._era = era if era is not None else Cell(0)
+
+    @property
+    def era(self) -> int:
+        """Return the highest era of the store that any answer has told."""
+        return self._platform.era
 
     async def _count(self, method: str, key: str, call: Awaitable[T], *, stale: bool = False) -> T:
         purpose = f"{'stale-' if stale else ''}{method}:{key.partition('/')[0]}"
@@ -32,6 +43,8 @@
         except PlatformError as error:
             self._counts.add(METRIC, "result", f"{purpose}:{error.code}")
             raise
+        finally:
+            self._era.set(max(self._era.value, self._platform.era))
         self._counts.add(METRIC, "result", f"{purpose}:ok")
         return result
 
--- a/src/ibiswick/_internal/direct/exchange.py
+++ b/src/ibiswick/_internal/direct/exchange.py
@@ -45,7 +45,8 @@
     the object API itself if it is `reading`. `members` is a digest of its members, `table` says up
     to which change of its table `records` goes, None when they do not hold all that the receiver
     lacks. `seen` is what the sender has taken of the receiver's table. `update` with `limits` is
-    None when the receiver has that configuration.
+    None when the receiver has that configuration. `era` is the highest era of the object API's
+    store that the sender has heard of.
     """
 
     sender: str
@@ -58,6 +59,7 @@
     records: tuple[NodeRecord, ...] = ()
     update: FullSnapshot | DeltaSnapshot | None = None
     limits: CallerLimits = CallerLimits()
+    era: int = 0
 
 
 class _Wire(NamedTuple):
@@ -71,6 +73,7 @@
     records: list[Any]
     update: bytes
     limits: CallerLimits
+    era: int
 
 
 def encode_message(message: ExchangeMessage) -> bytes:
@@ -79,7 +82,15 @@
     records = [list(record) for record in message.records]
     table = list(message.table) if message.table is not None else None
     raw = cbor2.dumps(
-        [*message[:5], list(message.seen), table, records, update, list(message.limits)]
+        [
+            *message[:5],
+            list(message.seen),
+            table,
+            records,
+            update,
+            list(message.limits),
+            message.era,
+        ]
     )
     return zlib.compress(raw, COMPRESSION_LEVEL)
 
@@ -97,7 +108,7 @@
     update = decode_update(wire.update) if wire.update else None
     if update is not None and not isinstance(update, (FullSnapshot, DeltaSnapshot)):
         raise MessageError("an exchange message holds no snapshot where one is due")
-    return ExchangeMessage(*wire[:7], records, update, wire.limits)
+    return ExchangeMessage(*wire[:7], records, update, wire.limits, wire.era)
 
 
 def _decompress(raw: bytes) -> bytes:
--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -7,7 +7,13 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from ..shared.errors import HistoryLostError, PlatformError, PlatformUnavailableError
+from ..shared.blackboard import Cell
+from ..shared.errors import (
+    EraChangedError,
+    HistoryLostError,
+    PlatformError,
+    PlatformUnavailableError,
+)
 from ..shared.logs import EventLog
 from ..shared.objectapi import Listing, Platform
 
@@ -31,6 +37,10 @@
     changes nothing: what has been applied stays until a newer listing replaces it. Changes are
     collected for `find_gather_s()` seconds before the next watch. If `find_large_key()` names an
     object, it is read once after that time, since a watch would send each of its versions.
+
+    `era` holds the highest era of the store that this node has heard of. Once it is above that of
+    the revision which is watched, everything is listed anew, and no answer of an earlier era is
+    applied.
     """
 
     def __init__(
@@ -44,6 +54,7 @@
         find_large_key: Callable[[], str | None] = lambda: None,
         hold_watch: Callable[[], Awaitable[None]] | None = None,
         find_stale_s: Callable[[], float | None] = lambda: None,
+        era: Cell[int] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._clock = clock
@@ -62,6 +73,9 @@
         # Whether the next listing has to be current: an old one may lie before the lost history.
         self._needs_current = False
         self._revision: int | None = None
+        # The era to which the revision belongs, and the highest one known.
+        self._era = 0
+        self._known_era = era if era is not None else Cell(0)
         self.connected = False
         self._lost_at = clock()
 
@@ -77,7 +91,11 @@
                 await self._step()
             except HistoryLostError as error:
                 _log.warn(
-                    "history-lost", prefix=self._prefix, revision=self._revision, detail=error
+                    error.code,
+                    prefix=self._prefix,
+                    revision=self._revision,
+                    era=self._known_era.value,
+                    detail=error,
                 )
                 self._revision = None
                 self._needs_current = True
@@ -93,7 +111,7 @@
         """
         self._revision = None
         try:
-            await self._list(stale=True)
+            await self._list(stale=not self._needs_current)
         except PlatformError as error:
             self._note_lost(error)
         # A revision of the past would only bring events that have been listed.
@@ -113,12 +131,7 @@
             wait_s = WATCH_S if self.connected else 0.0
             if stale_s is not None:
                 wait_s = min(wait_s, stale_s)
-            listing = await self._platform.watch(
-                self._prefix,
-                after=self._revision,
-                timeout_s=wait_s,
-                stale=stale_s is not None,
-            )
+            listing = await self._watch(self._revision, wait_s, stale=stale_s is not None)
             self._note_regained(listing)
             if listing.objects:
                 self._apply(listing, False)
@@ -128,10 +141,41 @@
                 return
             self._revision = listing.revision
 
+    async def _watch(self, revision: int, wait_s: float, *, stale: bool) -> Listing:
+        """Wait for changes; raise EraChangedError as soon as the revision means nothing any more.
+
+        A watch that waits would not tell of another era before its end.
+        """
+        self._check_era(self._era)
+        version = self._known_era.version
+        watch = asyncio.ensure_future(
+            self._platform.watch(self._prefix, after=revision, timeout_s=wait_s, stale=stale)
+        )
+        risen = asyncio.ensure_future(self._known_era.wait_change(version))
+        try:
+            await asyncio.wait((watch, risen), return_when=asyncio.FIRST_COMPLETED)
+            if not watch.done():
+                self._check_era(self._era)
+            listing = await watch
+        finally:
+            watch.cancel()
+            risen.cancel()
+        self._check_era(listing.era)
+        self._check_era(self._era)
+        return listing
+
+    def _check_era(self, era: int) -> None:
+        """Raise EraChangedError for what belongs to an earlier era than the present one."""
+        if era < self._known_era.value:
+            self._needs_current = True
+            raise EraChangedError(f"era {era} has ended")
+
     async def _list(self, *, stale: bool) -> None:
         """List everything and remember from which revision to watch."""
         started = self._clock()
         listing = await self._platform.list(self._prefix, stale=stale)
+        self._check_era(listing.era)
+        self._era = listing.era
         self._needs_current = False
         self.has_listed = True
         if listing.objects:
@@ -147,9 +191,10 @@
             return
         started = self._clock()
         found = await self._platform.get(key)
+        self._check_era(self._era)
         self._note_read(started)
         if found is not None and found.version > revision:
-            self._apply(Listing(found.version, (found,)), False)
+            self._apply(Listing(found.version, (found,), self._era), False)
             self._revision = found.version
 
     def _note_read(self, started: float) -> None:
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -121,7 +121,7 @@
         self.plane = DirectPlane(
             settings=settings,
             board=board,
-            platform=CountedPlatform(platform=platform, counts=self.counts),
+            platform=CountedPlatform(platform=platform, counts=self.counts, era=board.store_era),
             pool=self._peers,
             configuration_key=configuration_key,
             decode=decode_configuration,
@@ -337,6 +337,10 @@
                 snapshot.generation if snapshot is not None else 0,
             ),
             "ibiswick_members": ("Nodes that are known.", self.board.fleet_size.value),
+            "ibiswick_store_era": (
+                "Highest era of the object API's store; it rises when that restores a copy.",
+                self.board.store_era.value,
+            ),
             "ibiswick_configuration_heard_seconds": (
                 "Seconds since the object API last confirmed the configuration.",
                 self.plane.configuration_age_s,
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from ..calls.pool import Limits, Pool, Remote, Request, read_whole
 from ..calls.serving import AbortResponseError, ServerRequest
@@ -28,6 +29,8 @@
 from .supervision import supervise
 
 MEMBERS_PREFIX = "meshnodes/"
+# Where records and configurations come from that no other node has told.
+PLATFORM_SOURCE = "platform"
 # Changes of the configuration within this time are read by one call; they are due in 2 s.
 CONFIGURATION_GATHER_S = 0.8
 # The transfer of a large configuration over a slow link takes part of the time until it is due.
@@ -76,6 +79,16 @@
 # Records of one message that are logged line by line. A node that starts hears of the whole fleet
 # at once, and the lines would delay its first calls.
 MEMBER_LINES = 8
+# The era of a store that has never come back from a copy.
+FIRST_ERA = 1
+# Nodes that are asked what this one had announced, where the store may have forgotten it.
+CONFIRMING_PEERS = 2
+# Nodes that hear of another era read their own entries spread over this time; entries have to be
+# back within 2 s.
+ERA_SPREAD_S = 0.5
+# When entries of other nodes are written again: after their own nodes have had the time to do so.
+RESTORE_MIN_S = 0.8
+RESTORE_MAX_S = 1.6
 # The platform's object API takes several hundred writes a second from the whole fleet.
 ANNOUNCE_MIN_S = 0.3
 ANNOUNCE_MAX_S = 1.0
@@ -115,10 +128,14 @@
         # Readers that have not answered, until when they are not asked.
         self._silent: dict[str, float] = {}
         self._stored: dict[str, StoredObject] = {}
+        # The era of the store to which the versions of these entries belong.
+        self._stored_era = 0
         self._missing: dict[str, float] = {}
         self._heard: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        # Tasks that end by themselves.
+        self._passing: set[asyncio.Task[None]] = set()
         self._incarnation = int(wall_clock() * 1000)
         self._sequence = 0
         # Names this process to other nodes; unlike the incarnation it never changes.
@@ -134,6 +151,7 @@
             find_large_key=self._find_large_key,
             hold_watch=self._hold_watch,
             find_stale_s=self._find_configuration_stale_s,
+            era=board.store_era,
             clock=clock,
         )
         self._members_follower = Follower(
@@ -144,6 +162,7 @@
             find_gather_s=self._find_members_gather_s,
             hold_watch=self._hold_watch,
             find_stale_s=self._find_members_stale_s,
+            era=board.store_era,
             clock=clock,
         )
         self._followers = (self._configuration_follower, self._members_follower)
@@ -163,6 +182,7 @@
                 ("earlier", self._limit_earlier),
                 ("announce", self._announce),
                 ("exchange", self._exchange_forever),
+                ("era", self._follow_era),
             )
         ]
 
@@ -179,7 +199,7 @@
 
     def cancel(self) -> None:
         """Cancel the controllers."""
-        for task in self._tasks:
+        for task in (*self._tasks, *self._passing):
             task.cancel()
 
     async def stop(self) -> None:
@@ -225,7 +245,7 @@
     def _apply_configuration(self, listing: Listing, complete: bool) -> None:
         written = [item.value for item in listing.objects if item.key == self._key]
         if written and written[-1] is not None:
-            self.configuration.offer(written[-1], source="platform")
+            self.configuration.offer(written[-1], source=PLATFORM_SOURCE)
 
     async def _follow_platform(self) -> None:
         """Follow the object API, or ask the nodes that do so for this one."""
@@ -332,7 +352,14 @@
     def _apply_members(self, listing: Listing, complete: bool) -> None:
         now = self._clock()
         found = {item.key: item for item in listing.objects}
-        if complete:
+        is_restored = listing.era != self._stored_era
+        had_listed = self._stored_era > 0
+        if is_restored:
+            # Versions of the former era tell nothing of what the store holds now.
+            vanished = self._stored.keys() - found.keys()
+            self._stored.clear()
+            self._stored_era = listing.era
+        elif complete:
             # A listing that is some seconds old says nothing of what was written after it.
             old = {key for key, item in self._stored.items() if item.version <= listing.revision}
             vanished = old - found.keys()
@@ -354,15 +381,72 @@
                 continue
             self._missing.pop(record.vm, None)
             records.append(record)
-        self._merge(records, source="platform")
-        if complete:
-            self._confirm_earlier("platform")
+        self._merge(records, source=PLATFORM_SOURCE)
+        if complete and listing.era <= FIRST_ERA:
+            self._confirm_earlier(PLATFORM_SOURCE)
+        elif complete and not self._board.earlier_known.value:
+            self._start_task(self._confirm_with_peers())
+        if is_restored and had_listed:
+            self._start_task(self._restore_entries())
         self._changed.set()
 
+    def _start_task(self, run: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(run)
+        self._passing.add(task)
+        task.add_done_callback(self._passing.discard)
+
+    async def _confirm_with_peers(self) -> None:
+        """Ask other nodes before the store's word is taken for what this node had announced.
+
+        The store may have come back from a copy that does not hold that the backend server leaves.
+        """
+        peers = [record for vm, record in self._table.records.items() if vm != self._own.vm]
+        asked = self._rng.sample(peers, min(CONFIRMING_PEERS, len(peers)))
+        await asyncio.gather(*(self._exchange_with(record) for record in asked))
+        self._confirm_earlier(PLATFORM_SOURCE)
+
+    async def _restore_entries(self) -> None:
+        """Write again that backend servers leave, where the store has lost it.
+
+        Nodes write their own entries first, so this is for those that are gone. What else is lost
+        of them harms nobody.
+        """
+        if not self.is_reading:
+            return
+        era = self._stored_era
+        await asyncio.sleep(self._rng.uniform(RESTORE_MIN_S, RESTORE_MAX_S))
+        for record in list(self._table.records.values()):
+            if self._stored_era != era:
+                return
+            if record.vm != self._own.vm and self._is_lost(record):
+                await self._restore_entry(record)
+
+    def _is_lost(self, record: NodeRecord) -> bool:
+        """Tell whether the store does not hold that a node's backend server leaves."""
+        stored = self._stored.get(MEMBERS_PREFIX + record.vm)
+        known = parse_record(stored.value) if stored is not None else None
+        if known is None or not record.leaving:
+            return record.leaving
+        return record.order > known.order and not known.leaving
+
+    async def _restore_entry(self, record: NodeRecord) -> None:
+        key = MEMBERS_PREFIX + record.vm
+        stored = self._stored.get(key)
+        expected = stored.version if stored is not None else MUST_NOT_EXIST
+        try:
+            version = await self._platform.put(key, record._asdict(), expected=expected)
+        except PlatformError as error:
+            _log.info("restore-failed", vm=record.vm, code=error.code, detail=error)
+            return
+        self._stored[key] = StoredObject(key, version, record._asdict())
+        _log.info("member-restored", vm=record.vm, leaving=record.leaving, era=self._stored_era)
+
     def _merge(self, records: list[NodeRecord], *, source: str) -> None:
         own = next((record for record in records if record.vm == self._own.vm), None)
         if own is not None and own.incarnation != self._incarnation:
-            self._note_earlier(own, source)
+            self._note_earlier(own)
+            if source != PLATFORM_SOURCE:
+                self._confirm_earlier(source)
         if own is not None and own.order > self._own.order:
             # An earlier process of this node had a later clock.
             self._incarnation = own.incarnation + 1
@@ -415,7 +499,7 @@
 
     # This node's own record
 
-    def _note_earlier(self, record: NodeRecord, source: str) -> None:
+    def _note_earlier(self, record: NodeRecord) -> None:
         """Take over what an earlier process of this node has announced."""
         if record.order > self._earlier_order and record.instance:
             self._earlier_order = record.order
@@ -424,7 +508,7 @@
                     record.instance, record.service, record.slots, record.born, record.leaving
                 )
             )
-        self._confirm_earlier(source)
+            self._publish_own()
 
     def _confirm_earlier(self, source: str) -> None:
         known = self._board.earlier_known
@@ -472,7 +556,12 @@
 
     def _publish_own(self) -> None:
         """Give this node's record the next sequence, if it has changed."""
-        built = self._build_own(self._board.instance.value)
+        instance = self._board.instance.value
+        earlier = self._board.earlier_instance.value
+        if instance is None and earlier is not None and earlier.leaving:
+            # Until another backend server announces itself, this process is the one that knows.
+            instance = earlier
+        built = self._build_own(instance)
         if built == self._own:
             return
         self._sequence += 1
@@ -520,6 +609,7 @@
         stored = self._stored.get(key)
         expected = stored.version if stored is not None else MUST_NOT_EXIST
         value = self._own._asdict()
+        era = self._stored_era
         try:
             version = await self._platform.put(key, value, expected=expected)
         except ConflictError as error:
@@ -530,9 +620,30 @@
             await asyncio.sleep(self._rng.uniform(ANNOUNCE_MIN_S, ANNOUNCE_MAX_S))
         else:
             known = self._stored.get(key)
-            if known is None or known.version < version:
+            is_present = era == self._stored_era == self._board.store_era.value
+            if is_present and (known is None or known.version < version):
                 self._stored[key] = StoredObject(key, version, value)
 
+    async def _follow_era(self) -> None:
+        """Find out what the store has lost of this node when it came back from an older copy.
+
+        Nodes that follow the object API list everything anew; the others read their own entry.
+        """
+        cell = self._board.store_era
+        era = cell.value
+        while True:
+            version = cell.version
+            if cell.value != era:
+                _log.warn("store-era-changed", before=era, era=cell.value)
+                before, era = era, cell.value
+                if not self.is_reading and before:
+                    await asyncio.sleep(self._rng.uniform(0.0, ERA_SPREAD_S))
+                    self._stored.clear()
+                    self._stored_era = era
+                    await self._read_own(MEMBERS_PREFIX + self._own.vm)
+                    self._changed.set()
+            await cell.wait_change(version)
+
     async def _read_own(self, key: str) -> None:
         try:
             found = await self._platform.get(key)
@@ -584,6 +695,7 @@
             self._cursors.get(receiver, Cursor()),
             None,
             own,
+            era=self._board.store_era.value,
         )
 
     def _build_answer(self, message: ExchangeMessage) -> ExchangeMessage:
@@ -617,6 +729,8 @@
         return message.seen != Cursor(self._process, self._table.version)
 
     def _take(self, message: ExchangeMessage) -> None:
+        era = self._board.store_era
+        era.set(max(era.value, message.era))
         if message.update is not None:
             self.configuration.take(message.update, message.limits, source=message.sender)
         self._merge(list(message.records), source=message.sender)
--- a/src/ibiswick/_internal/platform/store.py
+++ b/src/ibiswick/_internal/platform/store.py
@@ -13,6 +13,7 @@
 
 from ..shared.errors import (
     ConflictError,
+    EraChangedError,
     HistoryLostError,
     NotSentError,
     OutcomeUnknownError,
@@ -25,6 +26,9 @@
 # The store answers in milliseconds, and a slow one in less than half a second.
 TIMEOUT_S = 1.0
 RETRY_AFTER_S = 0.5
+# Names the era in every answer; it rises by one when the store comes back from an older copy.
+ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = 18
 # A store that holds more pages of one kind than this is not read on.
 MAX_PAGES = 200
 
@@ -58,6 +62,20 @@
 
     def __init__(self, *, fetch: Fetch) -> None:
         self._fetch = fetch
+        self.era = 0
+
+    async def _call(
+        self, method: str, target: str, headers: dict[str, str], body: bytes, timeout_s: float
+    ) -> FetchResponse:
+        """Carry out one exchange and note the era that the answer tells."""
+        response = await self._fetch(method, target, headers, body, timeout_s)
+        self.era = max(self.era, self._find_era(response))
+        return response
+
+    def _find_era(self, response: FetchResponse) -> int:
+        """Return the era that an answer tells; one that tells none belongs to the present."""
+        era = parse_era(response.headers.get(ERA_HEADER, ""))
+        return self.era if era is None else era
 
     async def get(self, key: str) -> StoredObject | None:
         """Return one object, or None when it is missing."""
@@ -97,18 +115,20 @@
         """Return every object of a kind; the revision is that of the first page."""
         kind = prefix.partition("/")[0]
         found: list[StoredObject] = []
-        revision = 0
+        revision = era = 0
         for number in range(MAX_PAGES):
             query = {"after": after} if after else {}
-            page = await self._read_page(kind, query, TIMEOUT_S, stale=stale)
+            page, page_era = await self._read_page(kind, query, TIMEOUT_S, stale=stale)
             if number == 0:
-                revision = page.current_rev
+                revision, era = page.current_rev, page_era
+            elif page_era != era:
+                raise EraChangedError(f"the pages of {kind} are of the eras {era} and {page_era}")
             objects = [_decode_object(kind, raw) for raw in page.items]
             found += [item for item in objects if item is not None]
             if not page.more or not found:
                 break
             after = found[-1].key.partition("/")[2]
-        return Listing(revision, tuple(found))
+        return Listing(revision, tuple(found), era)
 
     async def watch(
         self, prefix: str, *, after: int, timeout_s: float, stale: bool = False
@@ -116,13 +136,15 @@
         """Wait for changes of objects of a kind."""
         kind = prefix.partition("/")[0]
         query = {"watch": after, "wait_ms": int(timeout_s * 1000)}
-        page = await self._read_page(kind, query, timeout_s + TIMEOUT_S, stale=stale)
+        page, era = await self._read_page(kind, query, timeout_s + TIMEOUT_S, stale=stale)
         events = [_decode_event(kind, raw) for raw in page.events]
-        return Listing(page.current_rev, tuple(event for event in events if event is not None))
+        objects = tuple(event for event in events if event is not None)
+        return Listing(page.current_rev, objects, era)
 
     async def _read_page(
         self, kind: str, query: dict[str, Any], timeout_s: float, *, stale: bool
-    ) -> _Page:
+    ) -> tuple[_Page, int]:
+        """Return a page and the era of its answer."""
         target = _build_path(kind)
         if stale:
             # Costs a tenth of the price and no part of the rate, but may be seconds old.
@@ -135,13 +157,14 @@
         if response.status != 200:
             _raise_unavailable(response)
         try:
-            return msgspec.json.decode(response.body, type=_Page)
+            page = msgspec.json.decode(response.body, type=_Page)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise PlatformUnavailableError(f"malformed answer: {error}") from error
+        return page, self._find_era(response)
 
     async def _read(self, target: str, timeout_s: float) -> FetchResponse:
         try:
-            return await self._fetch("GET", target, {}, b"", timeout_s)
+            return await self._call("GET", target, {}, b"", timeout_s)
         except (NotSentError, ResponseLostError) as error:
             raise PlatformUnavailableError(
                 f"{error.code}: {error.detail}", retry_after_s=RETRY_AFTER_S
@@ -162,7 +185,7 @@
     async def _send(self, method: str, target: str, body: bytes) -> FetchResponse:
         headers = {"content-type": "application/json"} if body else {}
         try:
-            return await self._fetch(method, target, headers, body, TIMEOUT_S)
+            return await self._call(method, target, headers, body, TIMEOUT_S)
         except NotSentError as error:
             raise PlatformUnavailableError(
                 f"{error.code}: {error.detail}", retry_after_s=RETRY_AFTER_S
@@ -171,6 +194,15 @@
             raise OutcomeUnknownError(f"{error.code}: {error.detail}") from error
 
 
+def parse_era(text: str) -> int | None:
+    """Return the era in a header, None if it is not a number.
+
+    >>> parse_era("3"), parse_era(""), parse_era("soon")
+    (3, None, None)
+    """
+    return int(text) if text.isdecimal() and len(text) <= MAX_ERA_DIGITS else None
+
+
 def _build_path(key: str) -> str:
     return "/objects/" + urllib.parse.quote(key, safe="/")
 
--- a/src/ibiswick/_internal/shared/budgets.py
+++ b/src/ibiswick/_internal/shared/budgets.py
@@ -78,6 +78,11 @@
         self._clock = clock
         self._sleep = sleep
 
+    @property
+    def era(self) -> int:
+        """Return the highest era of the store that any answer has told."""
+        return self._platform.era
+
     async def get(self, key: str) -> StoredObject | None:
         """Return one object, or None when it is missing."""
         await self._admit(self._calls)
--- a/src/ibiswick/_internal/shared/errors.py
+++ b/src/ibiswick/_internal/shared/errors.py
@@ -71,6 +71,12 @@
     code = "history-lost"
 
 
+class EraChangedError(HistoryLostError):
+    """Report that the platform came back from an older copy, so that its revisions mean others."""
+
+    code = "era-changed"
+
+
 class OutcomeUnknownError(PlatformError):
     """Report a write to the platform that may or may not have taken effect."""
 
--- a/src/ibiswick/_internal/shared/objectapi.py
+++ b/src/ibiswick/_internal/shared/objectapi.py
@@ -52,10 +52,15 @@
 
 
 class Listing(NamedTuple):
-    """Hold objects and the store's revision at which they were read."""
+    """Hold objects and the store's revision at which they were read.
+
+    Revisions may be given out again once the store has come back from an older copy, which begins
+    another `era`. A revision means something within its era only.
+    """
 
     revision: int
     objects: tuple[StoredObject, ...]
+    era: int = 0
 
 
 class Platform(Protocol):
@@ -64,11 +69,16 @@
     A read that may be `stale` may return what held some seconds ago, where the platform offers such
     reads at a lower price; others ignore it.
 
+    `era` is the highest that any answer has told, errors included. It rises by one each time that
+    the store has come back from an older copy, and stays 0 where that is never told.
+
     Every method raises PlatformUnavailableError when the call certainly had no effect; `put` and
     `delete` raise ConflictError when `expected` does not match and OutcomeUnknownError when the
     answer was lost.
     """
 
+    era: int
+
     async def get(self, key: str) -> StoredObject | None:
         """Return one object, or None when it is missing."""
 
@@ -151,6 +161,8 @@
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> None:
         parts = urllib.parse.urlsplit(base_url)
+        # This form of the object API never tells that it has come back from a copy.
+        self.era = 0
         self._fetch = fetch
         self._base_path = parts.path.rstrip("/")
         self._headers = {"host": parts.netloc, "user-agent": caller}
--- a/src/ibiswick/_internal/standins/store.py
+++ b/src/ibiswick/_internal/standins/store.py
@@ -14,16 +14,35 @@
 class ObjectStore:
     """Hold versioned objects; `revision` is the version of the newest write.
 
-    Values are kept encoded, so that a caller cannot change a stored object through a reference.
+    Values are kept encoded, so that a caller cannot change a stored object through a reference. The
+    `era` rises by one each time that the store is restored from a copy.
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 0
         self._objects: dict[str, tuple[int, bytes]] = {}
         self._keys: list[str] = []
         # Ordered by version, the oldest first. Deleted keys stay, because watches report them.
         self._versions: dict[str, int] = {}
 
+    def copy(self) -> ObjectStore:
+        """Return a copy from which this store can be restored."""
+        copied = ObjectStore()
+        copied.era, copied.revision = self.era, self.revision
+        copied._objects = dict(self._objects)
+        copied._keys = list(self._keys)
+        copied._versions = dict(self._versions)
+        return copied
+
+    def restore(self, copy: ObjectStore) -> None:
+        """Go back to a copy; what was written since is gone, and revisions are given out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = dict(copy._objects)
+        self._keys = list(copy._keys)
+        self._versions = dict(copy._versions)
+
     def get(self, key: str) -> StoredObject | None:
         """Return one object, or None when it is missing."""
         entry = self._objects.get(key)
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -25,6 +25,7 @@
     * `page`: objects in one page of a list.
     * `calls_per_s`: calls beyond so many in a second are refused with 429.
     * `delay_s`: how long a read of the configuration takes to arrive.
+    * `tells_era`: whether answers name the era of the store.
     * `past`: what reads that may be stale return, instead of the present.
 
     A watch sends each version of an object, as many as there were; `versions_sent` counts those of
@@ -40,6 +41,7 @@
         self.page = 500
         self.delay_s = 0.0
         self.past: ObjectStore | None = None
+        self.tells_era = True
         self.calls_per_s: int | None = None
         self.refused = 0
         self._second = 0
@@ -104,7 +106,7 @@
         return self._answer(200, page)
 
     async def _watch(self, kind: str, after: int, wait_s: float) -> FetchResponse:
-        if after < self.history_from:
+        if after < self.history_from or after > self.store.revision:
             return self._answer(410, {})
         changes = self.store.list_changes(kind + "/", after=after)
         if not changes.objects:
@@ -168,6 +170,6 @@
     def _answer_object(self, key: str) -> FetchResponse:
         return self._answer(200, self._show_current(key))
 
-    @staticmethod
-    def _answer(status: int, value: Any) -> FetchResponse:
-        return FetchResponse(status, {}, msgspec.json.encode(value))
+    def _answer(self, status: int, value: Any) -> FetchResponse:
+        headers = {"store-era": str(self.store.era)} if self.tells_era else {}
+        return FetchResponse(status, headers, msgspec.json.encode(value))
--- /dev/null
+++ b/tests/test_store_eras.py
@@ -0,0 +1,311 @@
+"""Check nodes whose object API comes back from an older copy of its store.
+
+What was written after the copy is gone, and its revisions are given out again for other writes. The
+nodes run whole in virtual time; the store is a stand-in.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import logbook
+import pytest
+
+from call_network import VirtualLoop, run_virtual
+from direct_network import DirectMesh
+from ibiswick._internal.direct.members import NodeRecord, parse_record
+from ibiswick._internal.direct.plane import MEMBERS_PREFIX
+from ibiswick._internal.platform.configuration import CONFIGURATION_KEY
+from platform_documents import build_beat, build_configuration
+
+logbook.NullHandler().push_application()
+
+SERVICES = ["counter", "counter", "archive"]
+# Entries have to be back within this time after the store is.
+RETURN_S = 2.0
+AWAY_S = 0.5
+FOREIGN_KEY = "others/x"
+
+
+def run_mesh(scenario: Any, services: list[str] = SERVICES) -> Any:
+    """Run a scenario on a mesh in virtual time."""
+
+    async def main(loop: VirtualLoop) -> Any:
+        mesh = DirectMesh(loop, services)
+        await mesh.start()
+        return await scenario(mesh)
+
+    return run_virtual(main)
+
+
+def set_store(mesh: DirectMesh, *, up: bool) -> None:
+    for fetch in mesh.fetches:
+        fetch.unreachable = not up
+        fetch.wake()
+
+
+async def restore(mesh: DirectMesh, copy: Any, *, writes: int = 0) -> None:
+    """Take the store away and bring it back from a copy, with other writes at its revisions."""
+    set_store(mesh, up=False)
+    await asyncio.sleep(AWAY_S)
+    mesh.store.restore(copy)
+    for number in range(writes):
+        mesh.store.put(FOREIGN_KEY, number)
+    set_store(mesh, up=True)
+
+
+def list_generations(mesh: DirectMesh) -> list[int]:
+    snapshots = [node.board.snapshot.value for node in mesh.nodes]
+    return [snapshot.generation if snapshot is not None else 0 for snapshot in snapshots]
+
+
+def read_entry(mesh: DirectMesh, index: int) -> NodeRecord | None:
+    found = mesh.store.get(MEMBERS_PREFIX + f"vm-{index}")
+    return parse_record(found.value) if found is not None else None
+
+
+def list_endpoints(mesh: DirectMesh, index: int) -> set[str]:
+    found = mesh.nodes[index].board.endpoints.value.values()
+    return {endpoint.vm for endpoints in found for endpoint in endpoints}
+
+
+@pytest.mark.parametrize("writes", [0, 1, 30])
+def test_a_version_written_at_a_revision_given_out_again_is_seen(writes: int) -> None:
+    """Guard against a node that takes a revision of the new era for one that it has seen."""
+
+    async def scenario(mesh: DirectMesh) -> list[int]:
+        copy = mesh.store.copy()
+        mesh.write_configuration("0000000d")
+        await asyncio.sleep(2)
+        await restore(mesh, copy, writes=writes)
+        mesh.write_configuration("0000000e")
+        await asyncio.sleep(2)
+        return list_generations(mesh)
+
+    assert run_mesh(scenario) == [14, 14, 14]
+
+
+def test_the_configuration_in_effect_does_not_move_back() -> None:
+    """Guard against nodes that follow the older copy, those included that start after it."""
+
+    async def scenario(mesh: DirectMesh) -> list[int]:
+        copy = mesh.store.copy()
+        mesh.write_configuration("0000000d")
+        await asyncio.sleep(2)
+        await restore(mesh, copy)
+        await mesh.restart(0)
+        await asyncio.sleep(3)
+        return list_generations(mesh)
+
+    assert run_mesh(scenario) == [13, 13, 13]
+
+
+def test_lost_entries_are_back_soon() -> None:
+    """Guard against an entry that only the lost part of the store held."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[bool], set[str], int]:
+        copy = mesh.store.copy()
+        for index in range(len(SERVICES)):
+            record = read_entry(mesh, index)
+            assert record is not None
+        empty = mesh.store.copy()
+        empty.restore(type(mesh.store)())
+        empty.put(CONFIGURATION_KEY, build_configuration("0000000c"))
+        await restore(mesh, empty, writes=copy.revision + 5)
+        calls = sum(len(fetch.calls) for fetch in mesh.fetches)
+        await asyncio.sleep(RETURN_S)
+        made = sum(len(fetch.calls) for fetch in mesh.fetches) - calls
+        found = [read_entry(mesh, index) is not None for index in range(len(SERVICES))]
+        return found, list_endpoints(mesh, 0), made
+
+    found, known, made = run_mesh(scenario)
+    assert found == [True] * 3
+    assert known == {"vm-0", "vm-1", "vm-2"}
+    # Each node lists two kinds, watches them for a few times and writes one entry.
+    assert made < 4 * 20
+
+
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_a_leaving_backend_server_stays_gone(is_killed: bool) -> None:
+    """Guard against a store that shows for good that a backend server takes calls which left.
+
+    Its own node writes the entry again, and other nodes do if that node is gone.
+    """
+
+    async def scenario(mesh: DirectMesh) -> tuple[bool, bool, set[str]]:
+        copy = mesh.store.copy()
+        leaving = build_beat(service="counter", sequence=99, born=1_000_001, state="draining")
+        mesh.beating[1] = False
+        await mesh.announce(1, "heartbeat", leaving)
+        await asyncio.sleep(1)
+        if is_killed:
+            await mesh.kill(1)
+        await restore(mesh, copy, writes=10)
+        await asyncio.sleep(RETURN_S)
+        record = read_entry(mesh, 1)
+        assert record is not None
+        return record.leaving, record.accepting, list_endpoints(mesh, 0)
+
+    assert run_mesh(scenario) == (True, False, {"vm-0", "vm-2"})
+
+
+def test_a_node_that_starts_after_the_return_knows_that_its_backend_server_leaves() -> None:
+    """Guard against a process that believes an entry from before the leaving."""
+
+    async def scenario(mesh: DirectMesh) -> list[set[str]]:
+        copy = mesh.store.copy()
+        leaving = build_beat(service="counter", sequence=99, born=1_000_001, state="draining")
+        mesh.beating[1] = False
+        await mesh.announce(1, "heartbeat", leaving)
+        await asyncio.sleep(1)
+        await mesh.kill(1)
+        await restore(mesh, copy, writes=10)
+        await mesh.restart(1)
+        seen = []
+        late = build_beat(service="counter", sequence=98, born=1_000_001)
+        for _ in range(20):
+            await mesh.announce(1, "heartbeat", late)
+            await asyncio.sleep(0.1)
+            seen.append(list_endpoints(mesh, 0) | list_endpoints(mesh, 1))
+        return seen
+
+    assert not any("vm-1" in known for known in run_mesh(scenario))
+
+
+def test_a_change_after_the_return_is_written() -> None:
+    """Guard against a conditional write that rests on a revision of the former era."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[bool, str]:
+        copy = mesh.store.copy()
+        more = build_beat(service="counter", sequence=90, born=1_000_001, capacity=7)
+        await mesh.announce(1, "heartbeat", more)
+        await asyncio.sleep(1)
+        await restore(mesh, copy, writes=10)
+        await asyncio.sleep(RETURN_S)
+        mesh.beating[1] = False
+        born = 1_000_001
+        leaving = build_beat(service="counter", sequence=99, born=born, state="draining")
+        await mesh.announce(1, "heartbeat", leaving)
+        await asyncio.sleep(1)
+        record = read_entry(mesh, 1)
+        assert record is not None
+        return record.leaving, record.instance
+
+    assert run_mesh(scenario) == (True, "i-1")
+
+
+def test_two_returns_in_a_row_lose_nothing() -> None:
+    """Guard against a second return while what the first one lost is still being written."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], list[bool], int]:
+        copy = mesh.store.copy()
+        mesh.write_configuration("0000000d")
+        await asyncio.sleep(1.5)
+        await restore(mesh, copy, writes=3)
+        await asyncio.sleep(0.4)
+        await restore(mesh, copy, writes=3)
+        mesh.write_configuration("0000000f")
+        await asyncio.sleep(RETURN_S)
+        entries = [read_entry(mesh, index) is not None for index in range(len(SERVICES))]
+        return list_generations(mesh), entries, mesh.nodes[0].board.store_era.value
+
+    assert run_mesh(scenario) == ([15, 15, 15], [True] * 3, 3)
+
+
+def test_a_node_that_was_cut_off_learns_of_the_return_from_others() -> None:
+    """Guard against a node that meets the new era later, with revisions of the former one."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, list[int]]:
+        copy = mesh.store.copy()
+        mesh.fetches[2].unreachable = True
+        mesh.fetches[2].wake()
+        mesh.write_configuration("0000000d")
+        await asyncio.sleep(2)
+        for fetch in mesh.fetches[:2]:
+            fetch.unreachable = True
+            fetch.wake()
+        mesh.store.restore(copy)
+        for fetch in mesh.fetches[:2]:
+            fetch.unreachable = False
+        await asyncio.sleep(3)
+        era = mesh.nodes[2].board.store_era.value
+        mesh.fetches[2].unreachable = False
+        mesh.write_configuration("0000000e")
+        await asyncio.sleep(2)
+        return era, list_generations(mesh)
+
+    assert run_mesh(scenario) == (2, [14, 14, 14])
+
+
+def test_a_store_that_names_no_era_has_one_for_ever() -> None:
+    """Guard against nodes that list everything again and again without an era in the answers."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, int]:
+        for fetch in mesh.fetches:
+            fetch.tells_era = False
+        before = sum(len(fetch.calls) for fetch in mesh.fetches)
+        await asyncio.sleep(10)
+        return sum(len(f.calls) for f in mesh.fetches) - before, len(list_endpoints(mesh, 0))
+
+    made, known = run_mesh(scenario)
+    assert known == 3
+    assert made < 20
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_copies_and_returns_at_random_lose_nothing(seed: int) -> None:
+    """Guard against any order of changes, leavings, restarts, copies and returns.
+
+    The oracle is what was told to the nodes: the highest configuration that was in effect, and
+    which backend servers leave.
+    """
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], int, set[str], set[str], list[bool]]:
+        rng = random.Random(seed)
+        copies = [mesh.store.copy()]
+        version, left = 12, set()
+        for step in range(10):
+            action = rng.choice(("change", "leave", "copy", "restore", "restart", "pass"))
+            index = rng.randrange(len(mesh.services))
+            if action == "change":
+                version += rng.randint(1, 3)
+                mesh.write_configuration(f"{version:08x}")
+                await asyncio.sleep(2)
+            elif action == "leave" and len(left) < 2:
+                left.add(f"vm-{index}")
+                mesh.beating[index] = False
+                beat = build_beat(
+                    service=mesh.services[index],
+                    sequence=1000 + step,
+                    born=1_000_000 + index,
+                    state="draining",
+                )
+                await mesh.announce(index, "heartbeat", beat)
+                await asyncio.sleep(1)
+            elif action == "copy":
+                copies.append(mesh.store.copy())
+            elif action == "restore":
+                await restore(mesh, rng.choice(copies), writes=rng.randrange(20))
+            elif action == "restart":
+                await mesh.restart(index)
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+        # Backend servers that stay announce themselves every 1.5 s to the node beside them.
+        await asyncio.sleep(2 * RETURN_S)
+        known = {vm for index in range(len(mesh.nodes)) for vm in list_endpoints(mesh, index)}
+        entries = [read_entry(mesh, index) for index in range(len(mesh.nodes))]
+        return (
+            list_generations(mesh),
+            version,
+            known,
+            left,
+            [record is not None and record.accepting for record in entries],
+        )
+
+    services = ["counter", "counter", "archive", "archive"]
+    generations, version, known, left, accepting = run_mesh(scenario, services)
+    assert generations == [version] * len(services)
+    names = [f"vm-{index}" for index in range(len(services))]
+    assert known == set(names) - left
+    assert accepting == [name not in left for name in names]
