--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -10,10 +10,9 @@
 
 from ..calls.callcounts import CallCounts
 from ..calls.heads import WireNames
-from ..calls.inbound import AdmissionPolicy, Inbound
-from ..calls.outbound import CallPolicy, Outbound
-from ..calls.pool import ByteBudget, Pool, Remote
-from ..calls.retries import Budget, RetryWindow
+from ..calls.inbound import Inbound
+from ..calls.outbound import Outbound
+from ..calls.pool import Pool, Remote
 from ..calls.serving import Listener, ServerRequest
 from ..shared.blackboard import Blackboard
 from ..shared.errors import InvalidInputError
@@ -25,27 +24,12 @@
 from .counted import CountedPlatform
 from .instances import Departure, Heartbeat, InstanceTable, Verdict
 from .plane import DirectPlane
+from .policies import build_admission_policy, build_buffers, build_call_policy
 from .settings import DirectSettings
 from .supervision import supervise
 
 # Requests of one connection that are served at once; more wait unread.
 PIPELINE_LIMIT = 16
-# Nodes that are asked for a slot without waiting before a call waits for one.
-POLLS = 3
-# With many nodes, what is known of each is older, and the next one is free more probably.
-POLLS_OF_MANY = 5
-# Responses up to this size are held until they are complete, so that a failure can be told.
-BUFFER_BYTES = 8 * 1024 * 1024
-# All such responses together; the smallest VM gives a process 200 MB, of which it uses 30.
-BUFFERS_BYTES = 64 * 1024 * 1024
-# Larger bodies wait until a node asks for them; smaller ones cost less than the round trip.
-OFFERED_BYTES = 4 * 1024
-# A backend server's own failures of idempotent calls that another one may answer better.
-RETRY_STATUSES = frozenset((500, 502, 503))
-# Share of the fleet's retry ratio that nodes use; calls made by repeated calls use the rest.
-RETRY_SHARE = 0.4
-# Targets and deadlines limit the wait for a slot; this only bounds the memory.
-QUEUE_LENGTH_PER_SLOT = 8
 UPLOAD_IDLE_S = 10.0
 PEER_IDLE_LIMIT_S = 20.0
 BACKEND_IDLE_LIMIT_S = 8.0
@@ -115,7 +99,7 @@
         self._decode_announcement = decode_announcement
         self._instances = InstanceTable()
         self.counts = CallCounts()
-        buffers = ByteBudget(limit=BUFFERS_BYTES)
+        buffers = build_buffers()
         self._peers = Pool(idle_limit_s=PEER_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
         self._backend = Pool(idle_limit_s=BACKEND_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
         self.plane = DirectPlane(
@@ -139,21 +123,11 @@
             upload_idle_s=UPLOAD_IDLE_S,
             rng=rng,
             clock=clock,
-            policy=CallPolicy(
+            policy=build_call_policy(
+                find_settings=lambda: self.settings,
                 names=names,
-                build_budget=self._build_budget,
-                retry_statuses=RETRY_STATUSES,
-                polls=POLLS,
-                polls_of_many=POLLS_OF_MANY,
-                buffer_bytes=BUFFER_BYTES,
-                serves_draining=True,
-                fractions=True,
-                divides_deadline=False,
-                needs_slash=True,
-                offered_bytes=OFFERED_BYTES,
-                link_bytes_per_s=settings.link_bytes_per_s,
-                buffers=buffers,
-            ),
+                count_nodes=lambda: board.fleet_size.value,
+            )._replace(buffers=buffers),
             origin=settings.service,
         )
         self._inbound = Inbound(
@@ -167,15 +141,7 @@
             watcher=NullWatcher(),
             upload_idle_s=UPLOAD_IDLE_S,
             clock=clock,
-            policy=AdmissionPolicy(
-                names=names,
-                receives_first=True,
-                needs_instance=True,
-                queue_s=None,
-                length_per_slot=QUEUE_LENGTH_PER_SLOT,
-                buffer_bytes=BUFFER_BYTES,
-                buffers=buffers,
-            ),
+            policy=build_admission_policy(names=names)._replace(buffers=buffers),
         )
         self._caller = Listener(
             handler=self._outbound,
@@ -214,16 +180,6 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _build_budget(self, now: float) -> Budget:
-        return RetryWindow(
-            ratio=self.settings.retry_ratio * RETRY_SHARE,
-            window_s=self.settings.retry_window_s,
-            slack=self._share_slack,
-        )
-
-    def _share_slack(self) -> float:
-        return self.settings.retry_slack * RETRY_SHARE / self.board.fleet_size.value
-
     # Life
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/ibiswick/_internal/direct/policies.py
@@ -0,0 +1,81 @@
+"""Say how nodes that read the object API themselves carry calls and share slots."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..calls.heads import WireNames
+from ..calls.inbound import AdmissionPolicy
+from ..calls.outbound import CallPolicy
+from ..calls.pool import ByteBudget
+from ..calls.retries import Budget, RetryWindow
+from .settings import DirectSettings
+
+# Nodes that are asked for a slot without waiting before a call waits for one.
+POLLS = 3
+# With many nodes, what is known of each is older, and the next one is free more probably.
+POLLS_OF_MANY = 5
+# Responses up to this size are held until they are complete, so that a failure can be told.
+BUFFER_BYTES = 8 * 1024 * 1024
+# All such responses together; the smallest VM gives a process 200 MB, of which it uses 30.
+BUFFERS_BYTES = 64 * 1024 * 1024
+# Larger bodies wait until a node asks for them; smaller ones cost less than the round trip.
+OFFERED_BYTES = 4 * 1024
+# A backend server's own failures of idempotent calls that another one may answer better.
+RETRY_STATUSES = frozenset((500, 502, 503))
+# Share of the fleet's retry ratio that nodes use; calls made by repeated calls use the rest.
+RETRY_SHARE = 0.4
+# Targets and deadlines limit the wait for a slot; this only bounds the memory.
+QUEUE_LENGTH_PER_SLOT = 8
+
+
+def build_call_policy(
+    *,
+    find_settings: Callable[[], DirectSettings],
+    names: WireNames,
+    count_nodes: Callable[[], int],
+) -> CallPolicy:
+    """Build the policy of the caller port.
+
+    `find_settings` returns those in effect, which may be reloaded; `count_nodes` returns how many
+    nodes share the budget.
+    """
+
+    def build_budget(now: float) -> Budget:
+        return RetryWindow(
+            ratio=find_settings().retry_ratio * RETRY_SHARE,
+            window_s=find_settings().retry_window_s,
+            slack=lambda: find_settings().retry_slack * RETRY_SHARE / count_nodes(),
+        )
+
+    return CallPolicy(
+        names=names,
+        build_budget=build_budget,
+        retry_statuses=RETRY_STATUSES,
+        polls=POLLS,
+        polls_of_many=POLLS_OF_MANY,
+        buffer_bytes=BUFFER_BYTES,
+        serves_draining=True,
+        fractions=True,
+        divides_deadline=False,
+        needs_slash=True,
+        offered_bytes=OFFERED_BYTES,
+        link_bytes_per_s=find_settings().link_bytes_per_s,
+    )
+
+
+def build_admission_policy(*, names: WireNames) -> AdmissionPolicy:
+    """Build the policy of the peer port."""
+    return AdmissionPolicy(
+        names=names,
+        receives_first=True,
+        needs_instance=True,
+        queue_s=None,
+        length_per_slot=QUEUE_LENGTH_PER_SLOT,
+        buffer_bytes=BUFFER_BYTES,
+    )
+
+
+def build_buffers() -> ByteBudget:
+    """Build the limit of what a node holds of all responses together."""
+    return ByteBudget(limit=BUFFERS_BYTES)
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -43,7 +43,7 @@
     and are repeated. Seen on bakony-rounds scale-1 with seed 950327176290: 383 repeats at the
     service called, of 342 allowed.
     """
-    from ibiswick._internal.direct.node import RETRY_SHARE
+    from ibiswick._internal.direct.policies import RETRY_SHARE
 
     callers, called = 1000, 1431
     own = count_repeats(calls=called, cost=1.0, share=RETRY_SHARE)
