Model a fleet under load with the nodes' own decisions, in virtual time

ibiswick-load model runs Outbound and Inbound with the policies of direct nodes against modelled backend servers, links and callers of a load file; compare runs it with changed constants on the same seeds and gives bootstrap intervals. Next to the credit stands what somebody who knows everything could serve with these slots. The virtual loop moved here from the tests.

--- /dev/null
+++ b/src/ibiswick/_internal/model/experiments.py
@@ -0,0 +1,154 @@
+"""Run a load with several seeds and compare variants of the decisions."""
+
+from __future__ import annotations
+
+import importlib
+import random
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from typing import Any, NamedTuple
+
+from ..shared.errors import Problem, SettingsError
+from .bounds import find_bound
+from .fleet import Result, run_load
+from .loads import Load
+
+WINDOW_S = 2.0
+PACKAGE = "ibiswick._internal."
+# Draws of the bootstrap, enough for two digits of a 95% interval.
+RESAMPLES = 2000
+INTERVAL = 0.95
+
+
+class Window(NamedTuple):
+    """Hold the calls of one window by result; `credit` and `bound` are shares of their worth."""
+
+    start: float
+    asked: int
+    results: Counter[str]
+    credit: float
+    bound: float
+
+
+class Summary(NamedTuple):
+    """Hold the figures of one run; `busiest` is the highest share of calls to the mean one."""
+
+    credit: float
+    bound: float
+    worst: float
+    served: float
+    crossing_mb: float
+    returned: int
+    busiest: float
+
+
+class Difference(NamedTuple):
+    """Hold the mean of paired differences and its interval."""
+
+    name: str
+    base: float
+    other: float
+    mean: float
+    low: float
+    high: float
+
+
+def list_windows(load: Load, result: Result) -> list[Window]:
+    """Divide the calls of a run into windows."""
+    found = []
+    start = 0.0
+    while start < load.seconds:
+        end = min(load.seconds, start + WINDOW_S)
+        calls = [call for call in result.calls if start <= call.at < end]
+        asked = Counter(call.kind for call in calls)
+        owed = sum(load.kinds[call.kind].worth for call in calls)
+        earned = sum(_credit(load, call.kind, call.result) for call in calls)
+        found.append(
+            Window(
+                start,
+                len(calls),
+                Counter(call.result for call in calls),
+                earned / owed if owed else 1.0,
+                find_bound(load, start=start, end=end, asked=asked),
+            )
+        )
+        start = end
+    return found
+
+
+def _credit(load: Load, kind: str, result: str) -> float:
+    described = load.kinds[kind]
+    return {"in-time": described.worth, "late": described.late_worth}.get(result, 0.0)
+
+
+def summarize(load: Load, result: Result) -> Summary:
+    """Work out the figures of one run."""
+    windows = list_windows(load, result)
+    owed = sum(load.kinds[call.kind].worth for call in result.calls)
+    earned = sum(_credit(load, call.kind, call.result) for call in result.calls)
+    answered = sum(call.result in ("in-time", "late") for call in result.calls)
+    busiest = max(
+        max(runs.values()) * len(runs) / max(1, sum(runs.values())) for runs in result.runs.values()
+    )
+    weights = sum(window.asked for window in windows)
+    return Summary(
+        earned / owed,
+        sum(window.bound * window.asked for window in windows) / weights,
+        min(window.credit for window in windows if window.asked),
+        answered / len(result.calls),
+        result.crossing_bytes / 1e6,
+        sum(call.tries > 1 for call in result.calls),
+        busiest,
+    )
+
+
+@contextmanager
+def override(changes: Sequence[str]) -> Iterator[None]:
+    """Replace constants for a trial, each given as `module.NAME=VALUE`; raise SettingsError."""
+    replaced: list[tuple[Any, str, Any]] = []
+    try:
+        for change in changes:
+            path, _, text = change.partition("=")
+            module_name, _, name = path.rpartition(".")
+            try:
+                module = importlib.import_module(PACKAGE + module_name)
+                before = getattr(module, name)
+                value = type(before)(float(text))
+            except (ImportError, AttributeError, TypeError, ValueError) as error:
+                problem = Problem("--set", change, "module.NAME=NUMBER", str(error))
+                raise SettingsError([problem]) from error
+            replaced.append((module, name, before))
+            setattr(module, name, value)
+        yield
+    finally:
+        for module, name, before in reversed(replaced):
+            setattr(module, name, before)
+
+
+def compare(load: Load, *, changes: Sequence[str], seeds: Sequence[int]) -> list[Difference]:
+    """Run a load as it is and with changed constants, with the same seeds."""
+    base = [summarize(load, run_load(load, seed=seed)) for seed in seeds]
+    with override(changes):
+        other = [summarize(load, run_load(load, seed=seed)) for seed in seeds]
+    found = []
+    for index, name in enumerate(Summary._fields):
+        pairs = [(float(a[index]), float(b[index])) for a, b in zip(base, other, strict=True)]
+        differences = [b - a for a, b in pairs]
+        low, high = find_interval(differences)
+        mean_base = sum(a for a, _ in pairs) / len(pairs)
+        mean_other = sum(b for _, b in pairs) / len(pairs)
+        found.append(Difference(name, mean_base, mean_other, mean_other - mean_base, low, high))
+    return found
+
+
+def find_interval(values: Sequence[float]) -> tuple[float, float]:
+    """Return the bootstrap interval of the mean; the same values give the same interval.
+
+    >>> find_interval([1.0, 1.0, 1.0])
+    (1.0, 1.0)
+    """
+    rng = random.Random(len(values))
+    means = sorted(sum(rng.choices(values, k=len(values))) / len(values) for _ in range(RESAMPLES))
+    cut = round(RESAMPLES * (1 - INTERVAL) / 2)
+    return means[cut], means[-cut - 1]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,9 +4,12 @@
 
 from typing import Any
 
+import msgspec
+
 from ibiswick._internal.direct.instances import Heartbeat
 from ibiswick._internal.direct.members import NodeRecord
 from ibiswick._internal.direct.settings import DirectSettings
+from ibiswick._internal.model.loads import ChildCall, Kind, Load, Service, Zone
 from ibiswick._internal.shared.records import (
     Endpoint,
     Member,
@@ -127,3 +130,25 @@
         ready=True,
     )
     return endpoint._replace(**changes)
+
+
+def build_load(**changes: Any) -> Load:
+    """Build a small load: two zones with a front and a store, calls of the first to the second."""
+    load = Load(
+        zones=[
+            Zone("a", 40.0, {"front": 1, "store": 1}),
+            Zone("b", 40.0, {"front": 1, "store": 1}),
+        ],
+        services={"front": Service(8), "store": Service(8)},
+        kinds={
+            "read": Kind(
+                "front", 50.0, 300, 800, weight=3.0, calls=[ChildCall("look", 0.5)], priority=1
+            ),
+            "book": Kind(
+                "front", 60.0, 300, 800, weight=1.0, worth=2.0, late_worth=0.6, idempotent=False
+            ),
+            "look": Kind("store", 10.0, 100, 300),
+        },
+        seconds=4.0,
+    )
+    return msgspec.structs.replace(load, **changes)
--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
-import time
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
 from typing import Any
-from unittest import mock
 
 import httptools
 
+from ibiswick._internal.model.clock import ClockLoop, run_on_loop
+
 LATENCY_S = 0.001
 
 
@@ -94,30 +93,16 @@
         pass
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Jump to the next timer instead of waiting, and connect protocols in memory."""
+class VirtualLoop(ClockLoop):
+    """Run in virtual time, and connect protocols in memory."""
 
     def __init__(self) -> None:
-        selector = selectors.DefaultSelector()
-        # Nothing ever arrives from outside, so there is nothing to wait for.
-        poll = selector.select
-        selector.select = lambda timeout=None: poll(0)  # type: ignore[method-assign]
-        super().__init__(selector)
-        self.now = 100.0
+        super().__init__()
         self.listeners: dict[int, Callable[[], Any]] = {}
         # Bytes written on the connections to each port, in both directions.
         self.carried: Counter[int] = Counter()
         self.pipes: list[Pipe] = []
 
-    def time(self) -> float:
-        return self.now
-
-    def _run_once(self) -> None:
-        scheduled = self._scheduled  # type: ignore[attr-defined]
-        if not self._ready and scheduled:  # type: ignore[attr-defined]
-            self.now = max(self.now, scheduled[0].when())
-        super()._run_once()  # type: ignore[misc]
-
     async def create_server(self, factory: Any, *args: Any, **options: Any) -> Any:
         port = options["sock"].getsockname()[1]
         self.listeners[port] = factory
@@ -147,19 +132,7 @@
 def run_virtual(main: Callable[[VirtualLoop], Coroutine[Any, Any, Any]]) -> Any:
     """Run a coroutine in virtual time and cancel what it leaves behind."""
     loop = VirtualLoop()
-    try:
-        with mock.patch.object(time, "monotonic", loop.time):
-            asyncio.set_event_loop(loop)
-            try:
-                return loop.run_until_complete(main(loop))
-            finally:
-                leftover = asyncio.all_tasks(loop)
-                for task in leftover:
-                    task.cancel()
-                loop.run_until_complete(asyncio.gather(*leftover, return_exceptions=True))
-    finally:
-        asyncio.set_event_loop(None)
-        loop.close()
+    return run_on_loop(loop, lambda: main(loop))
 
 
 class Client(asyncio.Protocol):
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,170 @@
+"""Check the model of a fleet: that it is repeatable, serves what it can, and knows its bound."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import logbook
+import msgspec
+import pytest
+
+from builders import build_load
+from ibiswick._internal.calls import balance
+from ibiswick._internal.commands import load_model
+from ibiswick._internal.model.bounds import find_bound
+from ibiswick._internal.model.experiments import (
+    compare,
+    find_interval,
+    list_windows,
+    override,
+    summarize,
+)
+from ibiswick._internal.model.fleet import run_load
+from ibiswick._internal.model.loads import Event, Load, read_load
+from ibiswick._internal.model.plots import draw_windows
+from ibiswick._internal.shared.errors import SettingsError
+
+logbook.NullHandler().push_application()
+
+LOADS = Path(__file__).parent.parent / "deployments" / "loads"
+
+
+def test_a_seed_gives_the_same_run() -> None:
+    """Guard against differences between variants that come from the order of tasks."""
+    load = build_load(events=[Event("down", 1.0, 0.5, share=0.5)])
+    assert run_load(load, seed=3) == run_load(load, seed=3)
+    assert run_load(load, seed=3).calls != run_load(load, seed=4).calls
+
+
+def test_a_calm_load_is_served_in_time() -> None:
+    """Guard against a model in which nodes refuse what backend servers have room for."""
+    summary = summarize(build_load(), run_load(build_load(), seed=1))
+    assert summary.credit > 0.97
+    assert summary.bound == 1.0
+    # Each zone has room for its own calls.
+    assert summary.crossing_mb == 0
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        Event("burst", 0.0, 4.0, factor=6.0),
+        Event("shed", 0.0, 4.0, service="front", share=0.8),
+        Event("slow", 0.0, 4.0, service="front", factor=8.0),
+        Event("down", 0.0, 3.0, share=1.0),
+    ],
+    ids=lambda event: event.kind,
+)
+def test_trouble_costs_and_its_bound_tells_how_much_at_least(event: Event) -> None:
+    """Guard against events without an effect, and against a bound below what was earned."""
+    load = build_load(events=[event])
+    summary = summarize(load, run_load(load, seed=1))
+    assert summary.credit < 0.9
+    assert summary.credit <= summary.bound + 0.02
+    assert summary.bound < 1.0
+
+
+def test_calls_that_must_not_run_twice_run_once() -> None:
+    """Guard against a model that counts a call as served which ran on two backend servers."""
+    load = build_load(events=[Event("down", 1.0, 0.5, share=0.5)])
+    kinds = {name: kind for name, kind in load.kinds.items() if name != "read"}
+    load = msgspec.structs.replace(load, kinds=kinds)
+    result = run_load(load, seed=2)
+    ran = sum(result.runs["front"].values())
+    tries = sum(call.tries for call in result.calls)
+    assert sum(call.result in ("in-time", "late") for call in result.calls) <= ran <= tries
+
+
+def test_the_bound_serves_the_greatest_worth_for_its_work_first() -> None:
+    """Guard against a bound that some order of service could beat."""
+    load = build_load()
+    asked = {"read": 1000, "book": 400}
+    # Two backend servers with 8 slots work for 64 s in 4 s. A booking takes 0.06 s and is worth 2;
+    # a read takes 0.05 s and, in half of the cases, 0.01 s more for the call that it makes.
+    reads = (64.0 - 400 * 0.06) / 0.055
+    found = find_bound(load, start=0.0, end=4.0, asked=asked)
+    assert found == pytest.approx((400 * 2 + reads) / 1800)
+    assert find_bound(load, start=0.0, end=6.0, asked=asked) == 1.0
+    none = build_load(events=[Event("down", 0.0, 4.0, share=1.0)])
+    assert find_bound(none, start=0.0, end=4.0, asked=asked) == 0.0
+
+
+def test_a_changed_constant_is_set_back() -> None:
+    """Guard against a variant whose constants hold for the next run."""
+    before = balance.REMOTE_FACTOR
+    with override(["calls.balance.REMOTE_FACTOR=2"]):
+        assert balance.REMOTE_FACTOR == 2.0
+    assert before == balance.REMOTE_FACTOR
+
+
+@pytest.mark.parametrize("change", ["calls.balance.NONE=1", "none.X=1", "calls.balance=1", "x"])
+def test_an_unknown_constant_is_refused(change: str) -> None:
+    """Guard against a trial that changes nothing and seems to show no difference."""
+    with pytest.raises(SettingsError), override([change]):
+        pass
+
+
+def test_comparisons_are_paired_and_have_an_interval() -> None:
+    """Guard against intervals that hide a difference or find one where nothing was changed."""
+    load = build_load(seconds=2.0)
+    same = compare(load, changes=["calls.balance.MAX_KINDS=256"], seeds=range(3))
+    assert all((item.low, item.mean, item.high) == (0.0, 0.0, 0.0) for item in same)
+    near = compare(load, changes=["calls.balance.CROSSING_RISK_PER_KB=0"], seeds=range(3))
+    crossing = next(item for item in near if item.name == "crossing_mb")
+    assert 0.0 < crossing.low <= crossing.mean <= crossing.high
+    assert find_interval([0.0, 1.0])[0] < 0.5 < find_interval([0.0, 1.0])[1]
+
+
+def test_windows_are_drawn() -> None:
+    """Guard against a picture that is no well-formed document."""
+    from xml.etree import ElementTree
+
+    load = build_load()
+    windows = list_windows(load, run_load(load, seed=1))
+    picture = ElementTree.fromstring(draw_windows(windows, title="<load>"))
+    assert len(picture.findall("{http://www.w3.org/2000/svg}polyline")) == 2
+
+
+@pytest.mark.parametrize("path", sorted(LOADS.glob("*.json")), ids=lambda path: path.stem)
+def test_the_loads_of_the_repository_are_valid(path: Path) -> None:
+    """Guard against load files that the tool refuses."""
+    assert read_load(path).seconds > 0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"seconds": 0},
+        {"zones": []},
+        {"zones": [{"name": "a", "calls_per_s": 1, "nodes": {"none": 1}}]},
+        {"kinds": {"read": {"service": "none", "work_ms": 1, "target_ms": 1, "deadline_ms": 1}}},
+        {"events": [{"kind": "shed", "at": 0, "seconds": 1}]},
+        {"events": [{"kind": "flood", "at": 0, "seconds": 1}]},
+        {"unknown": 1},
+    ],
+)
+def test_a_malformed_load_is_refused(change: dict[str, Any], tmp_path: Path) -> None:
+    """Guard against a load whose faults show in the middle of a long run."""
+    path = tmp_path / "load.json"
+    document = msgspec.to_builtins(build_load()) | change
+    path.write_bytes(msgspec.json.encode(document))
+    with pytest.raises(SettingsError):
+        read_load(path)
+    path.write_bytes(msgspec.json.encode(build_load()))
+    assert isinstance(read_load(path), Load)
+
+
+def test_the_tool_prints_windows_and_differences(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against commands that run and show nothing."""
+    path, picture = tmp_path / "load.json", tmp_path / "load.svg"
+    path.write_bytes(msgspec.json.encode(build_load(seconds=2.0)))
+    load_model.model(path, plot=picture)
+    assert "crossing_mb" in capsys.readouterr().out
+    assert picture.read_text().startswith("<svg")
+    load_model.compare(path, change=["calls.balance.REMOTE_FACTOR=2"], seeds=2)
+    assert "interval" in capsys.readouterr().out
+    with pytest.raises(SystemExit):
+        load_model.model(tmp_path / "none.json")
