Ask two readers at once after a silent one, and let nodes that stop send others elsewhere

Cause: on a grown deployment a node answered by an older version 2,524 ms after the newer one: the readers that it asked in a row, 0.7 s each, were all restarting. Now the first is asked alone and the next two at the same time; a node that has been told to stop says at once that it does not read for others, and nodes that take no calls any more are the last choice as readers.

Tests: a stopping reader and the address fail before the change. The test of a whole fleet that restarts in turn passes before it too: the pattern alone, without slow links, does not cause the delay.

--- a/src/ibiswick/_internal/direct/members.py
+++ b/src/ibiswick/_internal/direct/members.py
@@ -132,9 +132,16 @@
     def list_endpoints(self) -> dict[str, tuple[Endpoint, ...]]:
         """Return the endpoints that take calls, by service."""
         found: dict[str, list[Endpoint]] = {}
+        # An address that another VM has now belongs to the newest record with it.
+        newest: dict[tuple[str, int], tuple[int, int]] = {}
+        for record in self.records.values():
+            address = (record.host, record.peer_port)
+            newest[address] = max(newest.get(address, record.order), record.order)
         for record in sorted(self.records.values()):
             if not record.accepting or not record.instance:
                 continue
+            if record.order < newest[record.host, record.peer_port]:
+                continue
             endpoint = Endpoint(
                 record.vm,
                 record.born,
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -58,9 +58,9 @@
 READER_GRACE_S = 1.2
 # A reader that has failed is asked again after this time.
 SILENT_S = 5.0
-# Three readers can be asked in a row before a change is due.
+# A reader can be asked twice in a row before a change is due, and be read from in full after that.
 READER_TIMEOUT_S = 0.7
-# Readers that are asked in a row until one answers: two of this availability zone and another one.
+# Readers that are asked until one answers, the first alone and the others at the same time.
 MAX_QUESTIONS = 3
 # A node that has found so many readers silent, two of them elsewhere, reads itself.
 MAX_SILENT = 4
@@ -274,9 +274,9 @@
         """Ask the readers for what is new until this node has to read itself."""
         list_at = self._clock() + MEMBERS_LIST_S
         while not self._is_reader():
-            for _ in range(MAX_QUESTIONS):
-                if await self._ask_reader():
-                    break
+            if not await self._ask_reader():
+                # Readers that restart in turn would be found silent one after the other.
+                await asyncio.gather(*(self._ask_reader() for _ in range(MAX_QUESTIONS - 1)))
             await asyncio.sleep(self._rng.uniform(0.5, 1.5) * READER_POLL_S)
             if self._clock() >= list_at:
                 list_at = self._clock() + MEMBERS_LIST_S
@@ -324,7 +324,12 @@
         return any(record.vm == self._own.vm for record in readers)
 
     def _serves_others(self) -> bool:
-        """Tell whether other nodes may rely on what this one reads."""
+        """Tell whether other nodes may rely on what this one reads.
+
+        A node that stops says no at once, so that they turn to others while it still answers.
+        """
+        if self._board.drain.value:
+            return False
         return self.is_reading and all(item.lost_s < READER_GRACE_S for item in self._followers)
 
     def _find_silent(self) -> dict[str, float]:
@@ -342,9 +347,12 @@
         )
         if reader is None:
             return False
+        # Questions at the same time go to different readers.
+        self._silent[reader.vm] = self._clock() + READER_TIMEOUT_S
         answer = await self._exchange_with(reader, timeout_s=READER_TIMEOUT_S)
         if answer is not None and answer.reading:
             self._confirmed_at = self._clock()
+            self._silent.pop(reader.vm, None)
             return True
         self._silent[reader.vm] = self._clock() + SILENT_S
         _log.info("reader-silent", vm=reader.vm, answered=answer is not None)
--- a/src/ibiswick/_internal/direct/readers.py
+++ b/src/ibiswick/_internal/direct/readers.py
@@ -33,7 +33,14 @@
         for record in records
         if record.availability_zone == availability_zone and record.vm not in silent
     ]
-    candidates.sort(key=lambda record: (record.read_ms or UNKNOWN_READ_MS, record.vm))
+    # A node that takes no calls any more is about to leave, so it comes last.
+    candidates.sort(
+        key=lambda record: (
+            bool(record.instance) and not record.accepting,
+            record.read_ms or UNKNOWN_READ_MS,
+            record.vm,
+        )
+    )
     count = max(MIN_READERS, math.ceil(len(candidates) / NODES_PER_READER))
     return tuple(candidates[:count])
 
--- a/tests/test_direct_plane.py
+++ b/tests/test_direct_plane.py
@@ -456,6 +456,80 @@
     assert run_large_mesh(scenario, zones=zones) == [0x110] * (10 - 2 * zones)
 
 
+APPLY_S = 2.0
+STABLE_S = 3.0
+
+
+def test_versions_reach_every_node_while_the_whole_fleet_restarts_in_turn() -> None:
+    """Guard against readers that are found silent one after the other while they all restart.
+
+    The pattern: nodes are stopped one by one, a second apart, while versions come in quick
+    succession. Seen on a grown deployment: a node answered by an older version 2.52 s after the
+    newer one, having asked three readers in a row that were all restarting.
+    """
+
+    async def scenario(mesh: DirectMesh) -> list[tuple[float, int, int, int]]:
+        loop = mesh.loop
+        started = dict.fromkeys(range(len(mesh.nodes)), loop.now - STABLE_S)
+        written = [(loop.now, 0x100)]
+        late = []
+
+        async def write() -> None:
+            for version in range(0x110, 0x180):
+                mesh.write_configuration(f"{version:08x}", listeners=build_large_listeners())
+                written.append((loop.now, version))
+                await asyncio.sleep(0.3)
+
+        async def stop(index: int) -> None:
+            started[index] = float("inf")
+            mesh.nodes[index].board.drain.set(True)
+            await mesh.tasks[index]
+            await asyncio.sleep(0.3)
+            await mesh.restart(index)
+            started[index] = loop.now
+
+        writing = asyncio.create_task(write())
+        stopping = []
+        for tick in range(200):
+            if tick % 10 == 0 and tick // 10 < 2 * len(mesh.nodes):
+                stopping.append(asyncio.create_task(stop(tick // 10 % len(mesh.nodes))))
+            await asyncio.sleep(0.1)
+            due = max((v for at, v in written if at <= loop.now - APPLY_S), default=0)
+            for index, generation in enumerate(list_generations(mesh)):
+                if loop.now - started[index] >= STABLE_S and generation < due:
+                    late.append((loop.now, index, generation, due))
+        writing.cancel()
+        await asyncio.gather(*stopping)
+        return late
+
+    assert run_large_mesh(scenario) == []
+
+
+def test_a_reader_that_stops_sends_the_others_elsewhere() -> None:
+    """Guard against nodes that rely on a reader until it has gone."""
+
+    async def scenario(mesh: DirectMesh) -> list[bool]:
+        reader = next(node for node in mesh.nodes if node.plane.is_reading)
+        before = reader.plane._build_question("x").reading
+        reader.board.drain.set(True)
+        return [before, reader.plane._build_question("x").reading]
+
+    assert run_large_mesh(scenario) == [True, False]
+
+
+def test_an_address_belongs_to_the_newest_record_with_it() -> None:
+    """Guard against calls to the address of a VM that is gone, which another one has now.
+
+    Seen in inc-28e8 of kus-tuyu: a few calls a second were turned away until the end of the day.
+    """
+    table = MemberTable(retention_s=30.0)
+    gone = build_node_record(vm="gone", host="10.0.0.9", incarnation=5, service="archive")
+    here = build_node_record(vm="here", host="10.0.0.9", incarnation=9, service="counter")
+    table.merge([here, gone], now=0.0)
+    found = table.list_endpoints()
+    assert [endpoint.vm for endpoints in found.values() for endpoint in endpoints] == ["here"]
+
+
 def test_readers_without_the_object_api_are_replaced() -> None:
     """Guard against nodes that trust a reader that hears nothing any more."""
 
