Send calls that will be late anyway where they end first

Cause: the chance to be late is one wherever the target is past or can't be met, so the price of crossing zones alone decided, and calls stayed at a backend server of their zone however slow it was. How late a call would be counts now, in units of its target, and a target that is past counts no more.

The tests with a target of -0.1, 0 and 0.05 s fail before the change.

--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -261,11 +261,13 @@
 
         def estimate(state: EndpointState) -> tuple[float, float, float]:
             is_remote = not self.is_local(state)
+            completion_s = self._estimate_completion(state, kind, now)
             risk = 0.0
-            if target_s is not None:
+            if target_s is not None and target_s > 0:
                 risk = self._estimate_risk(state, kind, now, target_s)
+                # Where a call is late anyway, how late still matters.
+                risk += max(0.0, completion_s / target_s - 1.0)
                 risk += crossing_risk if is_remote else 0.0
-            completion_s = self._estimate_completion(state, kind, now)
             return (risk, completion_s * (factor if is_remote else 1.0), rng.random())
 
         return min(states, key=estimate)
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -134,6 +134,22 @@
     assert not any(balancer.is_local(choose_in_time(balancer, rng)) for _ in range(50))
 
 
+@pytest.mark.parametrize("target_s", [-0.1, 0.0, 0.05, ZONE_TARGET_S])
+def test_calls_that_will_be_late_go_where_they_end_first(target_s: float) -> None:
+    """Guard against calls that stay at a backend server of their zone which takes for ever.
+
+    The pattern: the zone's only backend server is many times as slow as the others, and the target
+    is past or can't be met anywhere.
+    """
+    balancer = build_balancer(5, local=1)
+    for state in balancer.states:
+        duration_ms = 5000 if balancer.is_local(state) else 800
+        balancer.note_report(state, Load(0, 0, 6, duration_ms, 0), "read", now=0.0)
+    rng = random.Random(1)
+    chosen = [choose_in_time(balancer, rng, target_s=target_s) for _ in range(50)]
+    assert not any(balancer.is_local(state) for state in chosen)
+
+
 def test_larger_calls_need_a_better_reason_to_leave_their_zone() -> None:
     """Guard against one rule for calls of 1 KB and of 20 KB, which cost unequally much to send."""
     found = []
