Keep removed tokens removed when the platform comes back from an older copy

Cause: a copy from before the removal holds the token again, and it was accepted within ten seconds. A process that has removed a token, or has met its removal, refuses its hash from then on and deletes the entry again, under the condition of its version.

Not covered: a process that starts after the return and was never told, and a token that was added after the copy, which is gone.

--- a/src/ibiswick/_internal/administration/tokens.py
+++ b/src/ibiswick/_internal/administration/tokens.py
@@ -18,10 +18,12 @@
     InvalidInputError,
     OutcomeUnknownError,
     OverloadedError,
+    PlatformError,
     Problem,
     UnauthenticatedError,
 )
-from ..shared.objectapi import MUST_NOT_EXIST, Platform
+from ..shared.logs import EventLog
+from ..shared.objectapi import MUST_NOT_EXIST, Platform, StoredObject
 from .listings import read_all
 
 TOKEN_PREFIX = "tokens/"
@@ -39,10 +41,14 @@
 # A removed token is refused at the latest this long after its removal.
 FRESH_S = 10.0
 MAX_CACHED_TOKENS = 1024
+# Removed tokens that are remembered; a mesh has some hundreds of tokens.
+MAX_REMOVED_TOKENS = 4096
 # Requests that may wait for a scrypt check; more are refused, so that forged tokens cannot fill
 # memory or the executor's queue.
 MAX_WAITING_CHECKS = 16
 
+_log = EventLog(component="tokens")
+
 
 class Role(IntEnum):
     """Rights of a token; each role includes those below it."""
@@ -207,20 +213,45 @@
 
 
 class TokenStore:
-    """Keep token records in the platform."""
+    """Keep token records in the platform.
+
+    The platform may come back from an older copy, which holds tokens that have been removed since.
+    One that this process knows to be removed stays so, and is removed again when it is met.
+    """
 
     def __init__(self, *, platform: Platform) -> None:
         self._platform = platform
+        # Hashes of removed tokens, the oldest first.
+        self._removed: OrderedDict[str, None] = OrderedDict()
 
     async def read(self, name: str) -> TokenRecord | None:
         """Return one record, or None when there is none."""
         stored = await self._platform.get(TOKEN_PREFIX + name)
-        return None if stored is None else decode_record(stored.value)
+        return None if stored is None else await self._accept(stored)
 
     async def list(self) -> list[TokenRecord]:
         """Return every record, ordered by name."""
         objects = await read_all(self._platform, TOKEN_PREFIX)
-        return [decode_record(item.value) for item in objects]
+        records = [await self._accept(item) for item in objects]
+        return [record for record in records if record is not None]
+
+    async def _accept(self, stored: StoredObject) -> TokenRecord | None:
+        """Return a stored record unless its token has been removed."""
+        record = decode_record(stored.value)
+        if record.hash not in self._removed:
+            return record
+        _log.warn("removed-token-is-back", name=record.name, revision=stored.version)
+        try:
+            await self._platform.delete(stored.key, expected=stored.version)
+        except PlatformError as error:
+            _log.warn("token-not-removed", name=record.name, code=error.code, detail=error)
+        return None
+
+    def note_removed(self, record: TokenRecord) -> None:
+        """Remember that a token is valid no more."""
+        self._removed[record.hash] = None
+        if len(self._removed) > MAX_REMOVED_TOKENS:
+            self._removed.popitem(last=False)
 
     async def add(self, record: TokenRecord) -> None:
         """Write a new record; raise ConflictError when the name is taken."""
@@ -234,7 +265,10 @@
 
     async def remove(self, name: str) -> None:
         """Delete a record; a missing one is no error."""
+        record = await self.read(name)
         await self._platform.delete(TOKEN_PREFIX + name)
+        if record is not None:
+            self.note_removed(record)
 
 
 class _Verified(NamedTuple):
@@ -287,6 +321,7 @@
         else:
             record = await self._store.read(name)
             if record is None or record.hash != cached.record.hash:
+                self._store.note_removed(cached.record)
                 self._verified.pop(key, None)
                 record = await self._check_gated(name, secret)
         self._verified[key] = _Verified(record, self._clock() + FRESH_S)
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -122,6 +122,29 @@
         await bench.verifier.verify(replaced)
 
 
+@pytest.mark.parametrize("remover", ["this process", "another one"])
+async def test_a_removed_token_stays_removed_when_an_older_copy_holds_it(hashes, remover):
+    """Guards against a token that is valid again because the platform came back from a copy."""
+    bench = Bench()
+    text = await bench.add()
+    await bench.verifier.verify(text)
+    copy = bench.platform.store.copy()
+    store = bench.store if remover == "this process" else TokenStore(platform=bench.platform)
+    await store.remove("ops")
+    bench.clock.advance(tokens.FRESH_S)
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify(text)
+    bench.platform.store.restore(copy)
+    with pytest.raises(UnauthenticatedError):
+        await bench.verifier.verify(text)
+    assert bench.platform.store.get("tokens/ops") is None
+    bench.platform.store.restore(copy)
+    assert await bench.store.list() == []
+    assert bench.platform.store.get("tokens/ops") is None
+    # A token of the same name that was added later is another one.
+    assert (await bench.verifier.verify(await bench.add())).name == "ops"
+
+
 @pytest.mark.parametrize(
     "forge",
     [
