Take another node's word for an era as a hint only

Cause, found by reading: a wrong era in one message of another node was believed, after which every answer of the store seemed too old, and the nodes told each other. A later era that another node names causes one read of the own entry now, every 5 s at most; only answers of the store raise the era.

--- a/src/ibiswick/_internal/direct/exchange.py
+++ b/src/ibiswick/_internal/direct/exchange.py
@@ -46,7 +46,7 @@
     to which change of its table `records` goes, None when they do not hold all that the receiver
     lacks. `seen` is what the sender has taken of the receiver's table. `update` with `limits` is
     None when the receiver has that configuration. `era` is the highest era of the object API's
-    store that the sender has heard of.
+    store that its answers have told the sender.
     """
 
     sender: str
--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -38,8 +38,8 @@
     collected for `find_gather_s()` seconds before the next watch. If `find_large_key()` names an
     object, it is read once after that time, since a watch would send each of its versions.
 
-    `era` holds the highest era of the store that this node has heard of. Once it is above that of
-    the revision which is watched, everything is listed anew, and no answer of an earlier era is
+    `era` holds the highest era of the store that any of its answers has told. Once it is above that
+    of the revision which is watched, everything is listed anew, and no answer of an earlier era is
     applied.
     """
 
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -87,6 +87,8 @@
 # Nodes that hear of another era read their own entries spread over this time; entries have to be
 # back within 2 s.
 ERA_SPREAD_S = 0.5
+# A node that names a later era than the store causes a read this often at most.
+ERA_CHECK_S = 5.0
 # When entries of other nodes are written again: after their own nodes have had the time to do so.
 RESTORE_MIN_S = 0.8
 RESTORE_MAX_S = 1.6
@@ -133,6 +135,7 @@
         self._stored: dict[str, StoredObject] = {}
         # The era of the store to which the versions of these entries belong.
         self._stored_era = 0
+        self._era_checked_until = 0.0
         self._missing: dict[str, float] = {}
         self._heard: dict[str, float] = {}
         self._changed = asyncio.Event()
@@ -655,6 +658,14 @@
                     self._changed.set()
             await cell.wait_change(version)
 
+    async def _check_store_era(self) -> None:
+        """Read from the store, whose answer tells the era; another node's word is only a hint.
+
+        A wrong era that was believed would make every answer of the store seem too old.
+        """
+        await asyncio.sleep(self._rng.uniform(0.0, ERA_SPREAD_S))
+        await self._read_own(MEMBERS_PREFIX + self._own.vm)
+
     async def _read_own(self, key: str) -> None:
         try:
             found = await self._platform.get(key)
@@ -662,6 +673,9 @@
             _log.warn("announce-read-failed", code=error.code, detail=error)
             await asyncio.sleep(self._rng.uniform(ANNOUNCE_MIN_S, ANNOUNCE_MAX_S))
             return
+        if self._board.store_era.value != self._stored_era:
+            # What this era holds is listed or read next.
+            return
         if found is None:
             self._stored.pop(key, None)
         else:
@@ -739,8 +753,9 @@
         return message.seen != Cursor(self._process, self._table.version)
 
     def _take(self, message: ExchangeMessage) -> None:
-        era = self._board.store_era
-        era.set(max(era.value, message.era))
+        if message.era > self._board.store_era.value and self._clock() >= self._era_checked_until:
+            self._era_checked_until = self._clock() + ERA_CHECK_S
+            self._start_task(self._check_store_era())
         if message.update is not None:
             self.configuration.take(message.update, message.limits, source=message.sender)
         self._merge(list(message.records), source=message.sender)
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -74,8 +74,7 @@
         # Priorities of the calls at the local backend server by their ids; written where calls get
         # their slots.
         self.running: dict[bytes, int] = {}
-        # The highest era of the object API's store that this node has heard of, from the store or
-        # from another node; 0 before any.
+        # The highest era of the object API's store that its answers have told; 0 before any.
         self.store_era: Cell[int] = Cell(0)
         # Nodes that share limits which hold for the whole fleet, this one included.
         self.fleet_size: Cell[int] = Cell(1)
