Record the end of the server in its own task, not in a callback

Traced: 'stopped' was added by a callback of the server's task. When the task has ended in the same round of the loop in which the test goes on, awaiting it returns at once, and its callbacks run later; a few lines without a server show it (done before the await: True, order after it: []). The server had stopped. The order that is checked stays the same, and is as strict.

--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -72,8 +72,13 @@
     listener.listen()
     app = create_app(platform=platform, acceptor=Acceptor(platform=platform))
     stop = asyncio.Event()
-    serving = asyncio.create_task(serve_app(app, SETTINGS, listener=listener, stop=stop))
-    serving.add_done_callback(lambda _: platform.order.append("stopped"))
+
+    async def serve_until_stopped():
+        await serve_app(app, SETTINGS, listener=listener, stop=stop)
+        # A callback of the task may come after the await of a task that has just ended.
+        platform.order.append("stopped")
+
+    serving = asyncio.create_task(serve_until_stopped())
     host, port = listener.getsockname()
     async with httpx.AsyncClient(base_url=f"http://{host}:{port}", trust_env=False) as client:
         headers = {"Authorization": f"Bearer {text}"}
