--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
+from contextvars import Context, ContextVar, copy_context
 from typing import Any
 
 import httptools
@@ -12,16 +13,29 @@
 from ibiswick._internal.model.clock import ClockLoop, run_on_loop
 
 LATENCY_S = 0.001
+# How long the operating system tries to open a connection to a VM that does not answer.
+DARK_CONNECT_S = 120.0
+# The VM on which the running code is; empty for callers, backend servers and the test itself, which
+# no link separates from the nodes.
+VM: ContextVar[str] = ContextVar("VM", default="")
+
+
+def build_vm_context(vm: str) -> Context:
+    """Build the context in which the code of a VM runs."""
+    context = copy_context()
+    context.run(VM.set, vm)
+    return context
 
 
 class Pipe(asyncio.Transport):
     """Carry bytes to the protocol at the other end, in order and with latency."""
 
-    def __init__(self, network: VirtualLoop, protocol: Any, port: int) -> None:
+    def __init__(self, network: VirtualLoop, protocol: Any, port: int, context: Context) -> None:
         super().__init__({"peername": ("127.0.0.1", port), "sockname": ("127.0.0.1", port)})
         self.network = network
         self.protocol = protocol
         self.port = port
+        self.context = context
         self.other: Pipe | None = None
         self.silent = False
         self._closed = False
@@ -36,7 +50,8 @@
     def _post(self, item: bytes | BaseException | None) -> None:
         if self.other is not None and not self.silent:
             self.other._inbox.append(item)
-            self.network.call_later(LATENCY_S, self.other._pump)
+            delay_s = self.network.find_delay(self.context, self.other.context)
+            self.network.call_later(delay_s, self.other._pump, context=self.other.context)
 
     def _pump(self) -> None:
         while self._inbox and not self._closed and not self._paused:
@@ -51,7 +66,7 @@
     def _lose(self, reason: BaseException | None) -> None:
         if not self._closed:
             self._closed = True
-            self.network.call_soon(self.protocol.connection_lost, reason)
+            self.network.call_soon(self.protocol.connection_lost, reason, context=self.context)
 
     def close(self) -> None:
         if not self._closed:
@@ -71,7 +86,7 @@
 
     def resume_reading(self) -> None:
         self._paused = False
-        self.network.call_soon(self._pump)
+        self.network.call_soon(self._pump, context=self.context)
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         pass
@@ -99,29 +114,54 @@
     def __init__(self) -> None:
         super().__init__()
         self.listeners: dict[int, Callable[[], Any]] = {}
+        # The VM of each listener.
+        self.contexts: dict[int, Context] = {}
         # Bytes written on the connections to each port, in both directions.
         self.carried: Counter[int] = Counter()
         self.pipes: list[Pipe] = []
+        # Ports of VMs without power: nothing answers there, and nothing refuses either.
+        self.dark: set[int] = set()
+        # Seconds that packets wait at the full link of a VM, in either direction.
+        self.link_waits: dict[str, float] = {}
 
     async def create_server(self, factory: Any, *args: Any, **options: Any) -> Any:
         port = options["sock"].getsockname()[1]
         self.listeners[port] = factory
+        self.contexts[port] = copy_context()
         return _Server(self, port)
 
     async def create_connection(  # type: ignore[override]
         self, factory: Any, host: str, port: int, **options: Any
     ) -> Any:
-        await asyncio.sleep(LATENCY_S)
+        context = copy_context()
+        far_context = self.contexts.get(port, Context())
+        # A handshake takes a packet each way.
+        await asyncio.sleep(2 * self.find_delay(context, far_context) - LATENCY_S)
+        if port in self.dark:
+            await asyncio.sleep(DARK_CONNECT_S)
+            raise TimeoutError(f"no answer from port {port}")
         if port not in self.listeners:
             raise ConnectionRefusedError(f"nothing listens on port {port}")
-        near = Pipe(self, factory(), port)
-        far = Pipe(self, self.listeners[port](), port)
+        near = Pipe(self, factory(), port, context)
+        far = Pipe(self, far_context.copy().run(self.listeners[port]), port, far_context)
         near.other, far.other = far, near
         self.pipes += (near, far)
-        far.protocol.connection_made(far)
+        far_context.copy().run(far.protocol.connection_made, far)
         near.protocol.connection_made(near)
         return near, near.protocol
 
+    def find_delay(self, one: Context, other: Context) -> float:
+        """Return the seconds that a packet takes between two VMs."""
+        ends = {one.get(VM, ""), other.get(VM, "")}
+        if "" in ends or len(ends) == 1:
+            return LATENCY_S
+        return LATENCY_S + sum(self.link_waits.get(vm, 0.0) for vm in ends)
+
+    def darken(self, port: int) -> None:
+        """Leave a port without power: its connections are silent, and new ones hang."""
+        self.dark.add(port)
+        self.silence(port)
+
     def silence(self, port: int) -> None:
         """Drop every further byte on the open connections to a port; new ones work."""
         for pipe in self.pipes:
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from builders import build_direct_settings
-from call_network import Client, VirtualLoop
+from call_network import Client, VirtualLoop, build_vm_context
 from ibiswick._internal.calls.serving import bind_socket
 from ibiswick._internal.direct.node import DirectNode
 from ibiswick._internal.platform.configuration import CONFIGURATION_KEY, decode_configuration
@@ -256,7 +256,7 @@
         self.fetches.append(fetch)
         node = self._build_node(settings, fetch, index)
         self.nodes.append(node)
-        self.tasks.append(self.loop.create_task(node.run()))
+        self.tasks.append(self._start_node(node))
         self.beating.append(True)
         await asyncio.sleep(0.01)
         self.loop.create_task(self._beat(index))
@@ -274,12 +274,15 @@
             wall_clock=self.loop.time,
         )
 
+    def _start_node(self, node: DirectNode) -> asyncio.Task[None]:
+        return self.loop.create_task(node.run(), context=build_vm_context(node.settings.vm))
+
     async def restart(self, index: int) -> None:
         """Kill a node's process and start it again; its backend server lives on."""
         await self.kill(index)
         node = self._build_node(self.nodes[index].settings, self.fetches[index], index + 100)
         self.nodes[index] = node
-        self.tasks[index] = self.loop.create_task(node.run())
+        self.tasks[index] = self._start_node(node)
 
     async def kill(self, index: int) -> None:
         """End a node's process without notice."""
@@ -287,6 +290,16 @@
         await asyncio.gather(self.tasks[index], return_exceptions=True)
         self.nodes[index].abort()
 
+    async def darken(self, index: int) -> None:
+        """Take the power of a node's VM: no connection is reset, new ones hang."""
+        settings = self.nodes[index].settings
+        for address in (settings.caller, settings.peer, settings.exchange, settings.registry):
+            self.loop.darken(address.port)
+        self.beating[index] = False
+        self.fetches[index].unreachable = True
+        self.tasks[index].cancel()
+        await asyncio.gather(self.tasks[index], return_exceptions=True)
+
     async def _beat(self, index: int) -> None:
         backend = self.backends[index]
         sequence = 0
