Tell what a late configuration waited for

Added: how long connects take by result and one line when several VMs leave them unanswered in the same second, with whether anybody answered fast; why a reader counts as silent, after how long, and how old the node's configuration is; large answers of the store with bytes and time; the lateness of timers. No decision changes.

--- a/src/ibiswick/_internal/calls/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -26,7 +26,10 @@
     ResponseLostError,
     SilentPathError,
 )
+from ..shared.logs import EventLog
 from ..shared.objectapi import FetchResponse
+from .callcounts import CallCounts
+from .connects import COMMON_CAUSE_VMS, ConnectWatch
 from .parts import Parts
 
 CONNECT_TIMEOUT_S = 0.3
@@ -44,9 +47,13 @@
 SWEEP_INTERVAL_S = 1.0
 # A request that is sent so shortly before the server's idle timeout may meet a closed connection.
 IDLE_MARGIN_S = 0.5
+# Unanswered connects are told in one line for each second.
+CONNECT_LINE_S = 1.0
 
 Headers = list[tuple[bytes, bytes]]
 
+_log = EventLog(component="pool")
+
 
 class ConnectionsBusyError(NotSentError):
     """Report that every allowed connection to an address was in use."""
@@ -757,7 +764,11 @@
         ssl_context: ssl.SSLContext | None = None,
         check_certificate: Callable[[dict[str, Any] | None, Remote], bool] | None = None,
         unacknowledged_s: float | None = None,
+        counts: CallCounts | None = None,
     ) -> None:
+        self.connects = ConnectWatch()
+        self._counts = counts or CallCounts()
+        self._told_at = 0.0
         self._unacknowledged_s = unacknowledged_s
         self._idle_limit_s = idle_limit_s
         self._ssl = ssl_context
@@ -809,6 +820,7 @@
         connection = Connection(bucket, loop)
         bucket.opening += 1
         opened = False
+        started = time.monotonic()
         try:
             async with asyncio.timeout(min(CONNECT_TIMEOUT_S, _limit_wait(limits))):
                 transport, _ = await loop.create_connection(
@@ -816,9 +828,14 @@
                 )
             self._limit_silence(transport)
             opened = True
+            self._note_opened(remote, time.monotonic() - started)
         except TimeoutError:
+            self._note_unanswered(remote, time.monotonic() - started)
             raise NotSentError(f"connecting to {remote.host}:{remote.port} took too long") from None
         except (OSError, ssl.SSLError) as error:
+            self._counts.observe(
+                "ibiswick_connect_seconds", "result", "refused", time.monotonic() - started
+            )
             raise NotSentError(f"cannot connect to {remote.host}:{remote.port}: {error}") from error
         finally:
             bucket.opening -= 1
@@ -833,6 +850,28 @@
             raise NotSentError(f"{remote.host}:{remote.port} has the certificate of another node")
         return connection
 
+    def _note_opened(self, remote: Remote, seconds: float) -> None:
+        self.connects.note_opened(remote.host, seconds, now=time.monotonic())
+        self._counts.observe("ibiswick_connect_seconds", "result", "opened", seconds)
+
+    def _note_unanswered(self, remote: Remote, seconds: float) -> None:
+        """Note a handshake that was given up, and tell when many are at once."""
+        now = time.monotonic()
+        self.connects.note_unanswered(remote.host, now=now)
+        self._counts.observe("ibiswick_connect_seconds", "result", "unanswered", seconds)
+        summary = self.connects.summarize(now=now)
+        if summary.vms < COMMON_CAUSE_VMS or now - self._told_at < CONNECT_LINE_S:
+            return
+        self._told_at = now
+        _log.warn(
+            "connects-unanswered",
+            unanswered=summary.unanswered,
+            vms=summary.vms,
+            opened=summary.opened,
+            slowest_ms=int(summary.slowest_s * 1000),
+            common_cause=self.connects.has_common_cause(now=now),
+        )
+
     def _limit_silence(self, transport: asyncio.Transport) -> None:
         if self._unacknowledged_s is None:
             return
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -100,7 +100,11 @@
         self._instances = InstanceTable()
         self.counts = CallCounts()
         buffers = build_buffers()
-        self._peers = Pool(idle_limit_s=PEER_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
+        self._peers = Pool(
+            idle_limit_s=PEER_IDLE_LIMIT_S,
+            unacknowledged_s=UNACKNOWLEDGED_S,
+            counts=self.counts,
+        )
         self._backend = Pool(idle_limit_s=BACKEND_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
         self.plane = DirectPlane(
             settings=settings,
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -75,6 +75,8 @@
 EXCHANGE_INTERVAL_S = 1.0
 EXCHANGE_TIMEOUT_S = 0.5
 MAX_EXCHANGE_BYTES = 4 * 1024 * 1024
+# A timer that is later than this holds up everything else of the process as well.
+LATE_LINE_S = 0.1
 # Nodes whose changes are followed one by one; all records are exchanged with others.
 MAX_CURSORS = 256
 # Records of one message that are logged line by line. A node that starts hears of the whole fleet
@@ -351,14 +353,23 @@
         if reader is None:
             return False
         # Questions at the same time go to different readers.
-        self._silent[reader.vm] = self._clock() + READER_TIMEOUT_S
+        started = self._clock()
+        self._silent[reader.vm] = started + READER_TIMEOUT_S
         answer = await self._exchange_with(reader, timeout_s=READER_TIMEOUT_S)
-        if answer is not None and answer.reading:
+        if isinstance(answer, ExchangeMessage) and answer.reading:
             self._confirmed_at = self._clock()
             self._silent.pop(reader.vm, None)
             return True
         self._silent[reader.vm] = self._clock() + SILENT_S
-        _log.info("reader-silent", vm=reader.vm, answered=answer is not None)
+        _log.info(
+            "reader-silent",
+            vm=reader.vm,
+            reason="not-reading" if isinstance(answer, ExchangeMessage) else answer.code,
+            detail="-" if isinstance(answer, ExchangeMessage) else answer,
+            took_ms=int((self._clock() - started) * 1000),
+            generation=self.configuration.generation,
+            age_ms=int(self.configuration_age_s * 1000),
+        )
         return False
 
     # Members
@@ -685,16 +696,26 @@
 
     async def _exchange_forever(self) -> None:
         while True:
-            await asyncio.sleep(self._rng.uniform(0.5, 1.5) * EXCHANGE_INTERVAL_S)
+            pause_s = self._rng.uniform(0.5, 1.5) * EXCHANGE_INTERVAL_S
+            due = self._clock() + pause_s
+            await asyncio.sleep(pause_s)
+            self._note_late(self._clock() - due)
             self._drop_missing()
             peers = [vm for vm in self._table.records if vm != self._own.vm]
             if peers:
                 await self._exchange_with(self._table.records[self._rng.choice(peers)])
 
+    def _note_late(self, late_s: float) -> None:
+        """Note by how much a timer was late, which shows a process without processor time."""
+        self._counts.observe("ibiswick_loop_late_seconds", "timer", "exchange", max(0.0, late_s))
+        if late_s > LATE_LINE_S:
+            _log.warn("loop-late", late_ms=int(late_s * 1000))
+
     async def _exchange_with(
         self, record: NodeRecord, *, timeout_s: float = EXCHANGE_TIMEOUT_S
-    ) -> ExchangeMessage | None:
-        """Exchange what both nodes lack; return the answer, None if there is none."""
+    ) -> ExchangeMessage | ExchangeError | MessageError:
+        """Exchange what both nodes lack; return the answer, or why there is none."""
+        started = self._clock()
         try:
             answer = await self._send(record, self._build_question(record.vm), timeout_s)
             self._take(answer)
@@ -702,10 +723,16 @@
                 await self._send(record, self._build_answer(answer), timeout_s)
         except (ExchangeError, MessageError) as error:
             _log.debug("exchange-failed", vm=record.vm, code=error.code, detail=error)
-            return None
+            self._note_exchange(error.code, started)
+            return error
         self._heard[record.vm] = self._clock()
+        self._note_exchange("answered", started)
         return answer
 
+    def _note_exchange(self, result: str, started: float) -> None:
+        seconds = self._clock() - started
+        self._counts.observe("ibiswick_exchange_seconds", "result", result, seconds)
+
     def _build_question(self, receiver: str) -> ExchangeMessage:
         """Build a message that says what this node has, and its own record."""
         # This node's new record would replace the earlier one that it still has to hear.
--- a/src/ibiswick/_internal/platform/store.py
+++ b/src/ibiswick/_internal/platform/store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 import urllib.parse
 from typing import Any, NoReturn
 
@@ -21,6 +22,7 @@
     ResponseLostError,
     ValueTooLargeError,
 )
+from ..shared.logs import EventLog
 from ..shared.objectapi import MUST_NOT_EXIST, Fetch, FetchResponse, Listing, StoredObject
 
 # The store answers in milliseconds, and a slow one in less than half a second.
@@ -31,6 +33,10 @@
 MAX_ERA_DIGITS = 18
 # A store that holds more pages of one kind than this is not read on.
 MAX_PAGES = 200
+# An answer of this size takes a noticeable part of a second on a link of 5 Mbit/s.
+LARGE_ANSWER_BYTES = 64 * 1024
+
+_log = EventLog(component="store")
 
 
 class _Metadata(msgspec.Struct):
@@ -68,7 +74,16 @@
         self, method: str, target: str, headers: dict[str, str], body: bytes, timeout_s: float
     ) -> FetchResponse:
         """Carry out one exchange and note the era that the answer tells."""
+        started = time.monotonic()
         response = await self._fetch(method, target, headers, body, timeout_s)
+        if len(response.body) >= LARGE_ANSWER_BYTES:
+            _log.info(
+                "store-answer-large",
+                method=method,
+                target=target,
+                size_bytes=len(response.body),
+                took_ms=int((time.monotonic() - started) * 1000),
+            )
         self.era = max(self.era, self._find_era(response))
         return response
 
