--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -123,6 +123,8 @@
         self.dark: set[int] = set()
         # Seconds that packets wait at the full link of a VM, in either direction.
         self.link_waits: dict[str, float] = {}
+        # Until when a large transfer fills the link of a VM; all else waits behind it.
+        self.links_busy: dict[str, float] = {}
 
     async def create_server(self, factory: Any, *args: Any, **options: Any) -> Any:
         port = options["sock"].getsockname()[1]
@@ -155,7 +157,17 @@
         ends = {one.get(VM, ""), other.get(VM, "")}
         if "" in ends or len(ends) == 1:
             return LATENCY_S
-        return LATENCY_S + sum(self.link_waits.get(vm, 0.0) for vm in ends)
+        return LATENCY_S + sum(self._find_link_wait(vm) for vm in ends)
+
+    def _find_link_wait(self, vm: str) -> float:
+        busy_s = max(0.0, self.links_busy.get(vm, 0.0) - self.now)
+        return self.link_waits.get(vm, 0.0) + busy_s
+
+    async def fill_link(self, vm: str, seconds: float) -> None:
+        """Wait until a transfer of so many seconds has passed the link of a VM."""
+        until = max(self.now, self.links_busy.get(vm, 0.0)) + seconds
+        self.links_busy[vm] = until
+        await asyncio.sleep(until - self.now)
 
     def darken(self, port: int) -> None:
         """Leave a port without power: its connections are silent, and new ones hang."""
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -201,9 +201,18 @@
 class DirectMesh:
     """Run nodes on one store, each with a backend server that announces itself."""
 
-    def __init__(self, loop: VirtualLoop, services: list[str], *, zones: int = 2) -> None:
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        services: list[str],
+        *,
+        zones: int = 2,
+        links: dict[int, int] | None = None,
+    ) -> None:
         self.loop = loop
         self.zones = zones
+        # Rates of the VMs' links in bytes/s, as the settings tell them.
+        self.links = links or {}
         self.store = ObjectStore()
         self.fetches: list[StoreFetch] = []
         self.backends: list[FakeBackendServer] = []
@@ -222,6 +231,11 @@
         for fetch in self.fetches:
             fetch.wake()
 
+    def limit_link(self, index: int, *, version_s: float) -> None:
+        """Let a version of the configuration take so many seconds of a VM's link."""
+        vm = self.nodes[index].settings.vm
+        self.fetches[index].carry = lambda count: self.loop.fill_link(vm, count * version_s)
+
     async def start(self, *, wait_s: float = 4.0) -> None:
         """Start every node and wait until all know each other."""
         self.write_configuration()
@@ -250,6 +264,7 @@
             readiness=addresses[3],
             registry=addresses[4],
             exchange=addresses[5],
+            link_bytes_per_s=self.links.get(index, 0),
         )
         self.backends.append(backend)
         fetch = StoreFetch(self.store)
--- a/tests/platform_documents.py
+++ b/tests/platform_documents.py
@@ -111,3 +111,13 @@
         "born": 1782054605000,
     }
     return body | changes
+
+
+def build_large_listeners(count: int = 900) -> list[dict[str, Any]]:
+    """Build listeners with so many routes that not every node reads them."""
+    listeners: list[dict[str, Any]] = build_configuration()["listeners"]
+    rule = listeners[0]["rules"][0]
+    listeners[0]["rules"] += [
+        rule | {"name": f"r-{n}", "match": {"prefix": f"/idle-{n}/"}} for n in range(count)
+    ]
+    return listeners
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import urllib.parse
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -14,6 +14,12 @@
 from ibiswick._internal.shared.objectapi import MUST_NOT_EXIST, FetchResponse, StoredObject
 from ibiswick._internal.standins.store import ObjectStore
 
+CONFIGURATION_KIND = CONFIGURATION_KEY.partition("/")[0]
+
+
+async def _carry_at_once(versions: int) -> None:
+    """Carry versions over a link without limits."""
+
 
 class StoreFetch:
     """Implement `Fetch` on an ObjectStore as the platform's store answers.
@@ -26,6 +32,7 @@
     * `calls_per_s`: calls beyond so many in a second are refused with 429.
     * `delay_s`: how long a read of the configuration takes to arrive.
     * `tells_era`: whether answers name the era of the store.
+    * `carry`: carries so many versions of the configuration over the link of the VM.
     * `past`: what reads that may be stale return, instead of the present.
 
     A watch sends each version of an object, as many as there were; `versions_sent` counts those of
@@ -40,6 +47,7 @@
         self.history_from = 0
         self.page = 500
         self.delay_s = 0.0
+        self.carry: Callable[[int], Awaitable[None]] = _carry_at_once
         self.past: ObjectStore | None = None
         self.tells_era = True
         self.calls_per_s: int | None = None
@@ -77,8 +85,12 @@
         if "/" in key:
             found = self.store.get(key)
             await asyncio.sleep(self.delay_s if key == CONFIGURATION_KEY else 0.0)
-            self.versions_sent += key == CONFIGURATION_KEY
+            if key == CONFIGURATION_KEY:
+                self.versions_sent += 1
+                await self.carry(1)
             return self._answer(404, {}) if found is None else self._answer_object(key)
+        if key == CONFIGURATION_KIND:
+            await self.carry(1)
         return self._list(key, query.get("after", ""), stale="serializable" in query)
 
     def _is_over_rate(self) -> bool:
@@ -117,10 +129,12 @@
             except TimeoutError:
                 pass
             changes = self.store.list_changes(kind + "/", after=after)
-        if kind == CONFIGURATION_KEY.partition("/")[0]:
-            # Nothing but the configuration is written in the tests that count, so each revision
-            # is one of its versions.
-            self.versions_sent += max(0, changes.revision - after) if changes.objects else 0
+        if kind == CONFIGURATION_KIND and changes.objects:
+            # A node that writes its entry takes a revision too, which makes this an upper bound
+            # where entries are written.
+            versions = max(0, changes.revision - after)
+            self.versions_sent += versions
+            await self.carry(versions)
         events = [
             {
                 "deleted": item.value is None,
--- a/tests/test_direct_plane.py
+++ b/tests/test_direct_plane.py
@@ -31,7 +31,7 @@
 from ibiswick._internal.shared.errors import MessageError
 from ibiswick._internal.shared.records import CallerLimits
 from ibiswick._internal.standins.store import ObjectStore
-from platform_documents import build_beat, build_configuration
+from platform_documents import build_beat, build_configuration, build_large_listeners
 
 logbook.NullHandler().push_application()
 
@@ -337,16 +337,6 @@
     assert parse_record(build_node_record()._asdict() | change) is None
 
 
-def build_large_listeners(count: int = 900) -> list[dict[str, Any]]:
-    """Build listeners with so many routes that not every node reads them."""
-    listeners: list[dict[str, Any]] = build_configuration()["listeners"]
-    rule = listeners[0]["rules"][0]
-    listeners[0]["rules"] += [
-        rule | {"name": f"r-{n}", "match": {"prefix": f"/idle-{n}/"}} for n in range(count)
-    ]
-    return listeners
-
-
 def run_large_mesh(scenario: Any, *, zones: int = 2) -> Any:
     """Run a scenario on ten nodes in two availability zones with a large configuration."""
 
--- /dev/null
+++ b/tests/test_direct_readers.py
@@ -0,0 +1,134 @@
+"""Check how nodes with slow links hear of a large configuration while its readers come and go."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import logbook
+import pytest
+
+from call_network import VirtualLoop, run_virtual
+from direct_network import DirectMesh
+from platform_documents import build_large_listeners
+
+logbook.NullHandler().push_application()
+
+FAST_BYTES_PER_S = 12_500_000
+SLOW_BYTES_PER_S = 625_000
+# A version of 290 KB takes so long on such a link.
+FAST_VERSION_S = 0.023
+SLOW_VERSION_S = 0.46
+ZONES = 2
+# The first two nodes of each availability zone have fast links.
+FAST = range(2 * ZONES)
+NODES = 12
+# The time in which a configuration is due on the grown deployments, at nodes that have run for 3 s.
+APPLY_S = 2.5
+STABLE_S = 3.0
+
+
+class Watch:
+    """Record which nodes had an older version when a newer one was due."""
+
+    def __init__(self, mesh: DirectMesh) -> None:
+        self.mesh = mesh
+        self.written: list[tuple[float, int]] = []
+        self.started = dict.fromkeys(range(NODES), mesh.loop.now - STABLE_S)
+        self.late: list[tuple[int, float]] = []
+
+    async def write_storm(self, first: int, count: int, gap_s: float) -> None:
+        """Write versions in quick succession."""
+        for version in range(first, first + count):
+            self.mesh.write_configuration(f"{version:08x}", listeners=build_large_listeners())
+            self.written.append((self.mesh.loop.now, version))
+            await asyncio.sleep(gap_s)
+
+    async def follow(self, seconds: float) -> None:
+        """Look at every node ten times a second."""
+        loop = self.mesh.loop
+        end = loop.now + seconds
+        while loop.now < end:
+            await asyncio.sleep(0.1)
+            for index, node in enumerate(self.mesh.nodes):
+                snapshot = node.board.snapshot.value
+                generation = snapshot.generation if snapshot is not None else 0
+                missed = [at for at, version in self.written if version > generation]
+                if not missed or loop.now - self.started[index] < STABLE_S:
+                    continue
+                if loop.now - missed[0] > APPLY_S:
+                    self.late.append((index, round(loop.now - missed[0], 2)))
+
+    async def restart(self, index: int) -> None:
+        """Stop a node as planned and start it again."""
+        mesh = self.mesh
+        self.started[index] = float("inf")
+        mesh.nodes[index].board.drain.set(True)
+        await mesh.tasks[index]
+        await asyncio.sleep(0.5)
+        await mesh.restart(index)
+        self.started[index] = mesh.loop.now
+
+    async def lose_power(self, index: int) -> None:
+        """Take the power of a VM."""
+        self.started[index] = float("inf")
+        await self.mesh.darken(index)
+
+
+def run_slow_links(scenario: Any) -> Any:
+    """Run a scenario on a mesh where two VMs of each availability zone have fast links."""
+
+    async def main(loop: VirtualLoop) -> Any:
+        links = {n: FAST_BYTES_PER_S if n in FAST else SLOW_BYTES_PER_S for n in range(NODES)}
+        mesh = DirectMesh(loop, ["counter"] * 8 + ["archive"] * 4, zones=ZONES, links=links)
+        await mesh.start()
+        for index in range(NODES):
+            version_s = FAST_VERSION_S if index in FAST else SLOW_VERSION_S
+            mesh.limit_link(index, version_s=version_s)
+        mesh.write_configuration("00000100", listeners=build_large_listeners())
+        await asyncio.sleep(8)
+        return await scenario(mesh)
+
+    return run_virtual(main)
+
+
+def count_slow_reads(mesh: DirectMesh) -> int:
+    """Return how many versions came over slow links."""
+    return sum(mesh.fetches[index].versions_sent for index in range(NODES) if index not in FAST)
+
+
+def test_slow_links_carry_no_versions_while_the_readers_restart() -> None:
+    """Guard against nodes that fill their own links with versions because the readers restart.
+
+    Seen on bakony-rounds-grown trouble-2 (CONFIG): a node found four readers that stopped or had
+    just started, read the object API itself from an old revision on, and reached nobody for 3 s.
+    """
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, list[tuple[int, float]]]:
+        watch = Watch(mesh)
+        before = count_slow_reads(mesh)
+        storm = asyncio.create_task(watch.write_storm(0x110, 60, 0.25))
+        following = asyncio.create_task(watch.follow(18.0))
+        for index in (0, 2, 1, 3, 0, 2):
+            restarting = asyncio.create_task(watch.restart(index))
+            await asyncio.sleep(1.6)
+        await asyncio.gather(storm, following, restarting)
+        return count_slow_reads(mesh) - before, watch.late
+
+    assert run_slow_links(scenario) == (0, [])
+
+
+@pytest.mark.parametrize("dark", [(0,), (0, 2), (0, 1), (0, 1, 2)])
+def test_a_version_is_in_force_though_readers_have_just_lost_power(dark: tuple[int, ...]) -> None:
+    """Guard against nodes that wait for silent readers until a version is overdue."""
+
+    async def scenario(mesh: DirectMesh) -> list[tuple[int, float]]:
+        watch = Watch(mesh)
+        storm = asyncio.create_task(watch.write_storm(0x110, 40, 0.2))
+        await asyncio.sleep(2.0)
+        for index in dark:
+            await watch.lose_power(index)
+        await asyncio.gather(storm, watch.follow(9.0))
+        return watch.late
+
+    assert run_slow_links(scenario) == []
