--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -246,7 +246,6 @@
         self._policy = policy
         self._names = policy.names
         self._origin = _build_origin(policy.names, origin)
-        self._splits = Splits()
         self._workspace = workspace
         self._zone = availability_zone
         self._board = board
@@ -254,6 +253,7 @@
         self._counts = counts
         self._upload_idle_s = upload_idle_s
         self._rng = rng or random.Random()
+        self._splits = Splits(rng=self._rng)
         self._clock = clock or time.monotonic
         self._snapshot: Snapshot | None = None
         self._endpoints_version = -1
--- a/src/ibiswick/_internal/calls/splits.py
+++ b/src/ibiswick/_internal/calls/splits.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import math
+import random
+
 from ..shared.records import Route, SplitPart
 
+# Steps by which a picker may be advanced at its start; cycles of weights are mostly shorter.
+MAX_PHASE = 1000
+
 
 class SplitPicker:
     """Choose parts in exact proportion to their weights, evenly spread.
 
+    With `rng` it begins at a random place of its cycle. Nodes that all began at the same place would
+    send their first calls to the same part, which shows where each node has few calls.
+
     >>> parts = [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]
     >>> picker = SplitPicker(parts)
     >>> "".join(picker.choose() for _ in range(8))
@@ -16,10 +25,14 @@
 
     __slots__ = ("_credits", "_total", "parts")
 
-    def __init__(self, parts: list[SplitPart]) -> None:
+    def __init__(self, parts: list[SplitPart], *, rng: random.Random | None = None) -> None:
         self.parts = parts
         self._total = sum(part["weight"] for part in parts)
         self._credits = [0] * len(parts)
+        if rng is not None:
+            cycle = self._total // math.gcd(*(part["weight"] for part in parts))
+            for _ in range(rng.randrange(min(cycle, MAX_PHASE))):
+                self.choose()
 
     def choose(self) -> str:
         """Return the service of the next call."""
@@ -35,7 +48,8 @@
 class Splits:
     """Keep a picker for each route with a split; one whose parts stay the same is kept."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
         self._pickers: dict[str, SplitPicker] = {}
 
     def update(self, routes: tuple[Route, ...]) -> None:
@@ -48,7 +62,7 @@
                 continue
             picker = kept.get(route["id"])
             if picker is None or picker.parts != parts:
-                picker = SplitPicker(parts)
+                picker = SplitPicker(parts, rng=self._rng)
             self._pickers[route["id"]] = picker
 
     def choose(self, route: Route) -> str:
