Notice within two seconds that the path of a watch has gone silent

A connection may go silent without a reset. A watch of the configuration waits for up to 20 s, during which the node sends nothing, so nothing showed it: a version written after the silence came up to 21 s late on nodes that follow the object API (CONFIG). The connections to the object API are probed by the operating system now, each second while nothing arrives. The test fails before: the option did not exist.

--- a/src/ibiswick/_internal/calls/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -759,7 +759,9 @@
 
     `idle_limit_s` must be shorter than the servers' keep-alive time, so that this side closes
     first and no request meets a connection that the server is closing. A connection on which sent
-    bytes stay unacknowledged for `unacknowledged_s` is given up, whatever its deadline.
+    bytes stay unacknowledged for `unacknowledged_s` is given up, whatever its deadline. With
+    `probe_s`, one on which nothing has arrived for so many whole seconds is probed, so that a
+    response which is awaited for long does not hide that the path has gone silent.
     """
 
     def __init__(
@@ -769,12 +771,14 @@
         ssl_context: ssl.SSLContext | None = None,
         check_certificate: Callable[[dict[str, Any] | None, Remote], bool] | None = None,
         unacknowledged_s: float | None = None,
+        probe_s: int | None = None,
         counts: CallCounts | None = None,
     ) -> None:
         self.connects = ConnectWatch()
         self._counts = counts or CallCounts()
         self._told_at = 0.0
         self._unacknowledged_s = unacknowledged_s
+        self._probe_s = probe_s
         self._idle_limit_s = idle_limit_s
         self._ssl = ssl_context
         self._check_certificate = check_certificate
@@ -879,12 +883,17 @@
         )
 
     def _limit_silence(self, transport: asyncio.Transport) -> None:
-        if self._unacknowledged_s is None:
-            return
         raw = transport.get_extra_info("socket")
-        if raw is not None:
+        if raw is None:
+            return
+        if self._unacknowledged_s is not None:
             limit_ms = int(self._unacknowledged_s * 1000)
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+        if self._probe_s is not None:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, self._probe_s)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, self._probe_s)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
 
     def _start_sweeper(self, loop: asyncio.AbstractEventLoop) -> None:
         if self._sweeper is None:
--- a/src/ibiswick/_internal/calls/splits.py
+++ b/src/ibiswick/_internal/calls/splits.py
@@ -14,8 +14,8 @@
 class SplitPicker:
     """Choose parts in exact proportion to their weights, evenly spread.
 
-    With `rng` it begins at a random place of its cycle. Nodes that all began at the same place would
-    send their first calls to the same part, which shows where each node has few calls.
+    With `rng` it begins at a random place of its cycle. Nodes that all began at the same place
+    would send their first calls to the same part, which shows where each node has few calls.
 
     >>> parts = [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]
     >>> picker = SplitPicker(parts)
--- a/src/ibiswick/_internal/platform/program.py
+++ b/src/ibiswick/_internal/platform/program.py
@@ -26,6 +26,9 @@
 EXIT_FAILED = 1
 # The connections of waiting watches count as in use, not as idle.
 STORE_IDLE_LIMIT_S = 20.0
+# A watch waits for up to 20 s on a connection that may have gone silent, while versions are due in
+# 2 s. Few connections are probed, so a short time costs little.
+STORE_PROBE_S = 1
 
 _log = EventLog(component="program")
 
@@ -48,7 +51,11 @@
 
 
 async def _run(settings: DirectSettings, path: Path) -> None:
-    store_pool = Pool(idle_limit_s=STORE_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
+    store_pool = Pool(
+        idle_limit_s=STORE_IDLE_LIMIT_S,
+        unacknowledged_s=UNACKNOWLEDGED_S,
+        probe_s=STORE_PROBE_S,
+    )
     store = settings.store
     fetch = PoolFetch(pool=store_pool, base_url=f"http://{store.host}:{store.port}")
     node = DirectNode(
--- a/tests/test_connects.py
+++ b/tests/test_connects.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+
 import logbook
 import pytest
 
 from call_network import VirtualLoop, run_virtual
 from ibiswick._internal.calls.callcounts import CallCounts
 from ibiswick._internal.calls.connects import ConnectWatch
-from ibiswick._internal.calls.pool import Limits, Pool, Remote, Request
+from ibiswick._internal.calls.pool import Limits, Pool, Remote, Request, read_whole
 from ibiswick._internal.shared.errors import NotSentError
 
 REQUEST = Request(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
@@ -65,3 +68,24 @@
     watch.note_unanswered("10.0.0.3", now=1.0)
     assert watch.has_common_cause(now=1.0)
     assert not watch.has_common_cause(now=2.1)
+
+
+async def test_a_connection_that_waits_for_long_is_probed() -> None:
+    """Guard against a watch that hears nothing for 20 s because its path has gone silent."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    remote = Remote("127.0.0.1", server.sockets[0].getsockname()[1])
+    pool = Pool(idle_limit_s=10.0, unacknowledged_s=1.0, probe_s=1)
+    limits = Limits(asyncio.get_running_loop().time() + 5.0)
+    await read_whole(await pool.exchange(remote, REQUEST, limits), limit=10)
+    (connection,) = pool._buckets[remote]._open
+    raw = connection._transport.get_extra_info("socket")
+    assert raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+    assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
+    assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 1000
+    pool.close()
+    server.close()
