Deny a route only with a configuration that was confirmed lately

What callers saw in the incident: a definite 404, after which they do not come back, for a route that had been acknowledged 2.8 s before. Whatever delays a configuration, a node knows when nobody has confirmed its own for 2 s. The test gets 404 before this change.

--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -89,6 +89,8 @@
 RETRY_AFTER_DRAINING_S = 1.0
 # Another node can take the call at once.
 RETRY_AFTER_STOPPING_S = 0.05
+# A node hears of a newer configuration within about half a second of reaching anybody again.
+RETRY_AFTER_UNCONFIRMED_S = 0.5
 
 # A call whose slot is free sooner waits, since asking another node takes about as long. On a busy
 # link that is longer than this, and what questions have taken counts.
@@ -117,7 +119,8 @@
     where the prefix of a route does has no route. A body of more than `offered_bytes` is sent only
     once the other node has asked for it, since a node that refuses needs none. Such bodies take a
     share of the link only, whose rate is `link_bytes_per_s` (0 if unknown). `buffers` bounds what
-    is held of all responses together.
+    is held of all responses together. While `is_current` is false, this node may not have heard of
+    newer routes.
     """
 
     names: WireNames = NO_NAMES
@@ -133,6 +136,7 @@
     offered_bytes: int = MAX_REPLAY_BYTES
     link_bytes_per_s: int = 0
     buffers: ByteBudget | None = None
+    is_current: Callable[[], bool] = lambda: True
 
 
 DEFAULT_POLICY = CallPolicy()
@@ -344,7 +348,7 @@
         method = request.method
         route = self._table.find(normalize_host(head.host), path, method)
         if route is None:
-            return build_answer(404, "no-route", "no route matches the host, path and method")
+            return self._refuse_unrouted()
         # A new snapshot may remove the service while the body arrives.
         service_name = self._splits.choose(route)
         service = self._services[service_name]
@@ -384,6 +388,18 @@
             polls=self._count_polls(service),
         )
 
+    def _refuse_unrouted(self) -> Answer:
+        """Refuse a call without a route; only a current configuration can say that there is none.
+
+        Callers do not try again after 404, and a route that has just been added may be one of which
+        this node has not heard.
+        """
+        if self._policy.is_current():
+            return build_answer(404, "no-route", "no route matches the host, path and method")
+        self._counts.add("ibiswick_refused_total", "reason", "unconfirmed")
+        detail = "no route matches, in a configuration that was not confirmed lately"
+        return self._build_not_run(detail, RETRY_AFTER_UNCONFIRMED_S)
+
     def _count_polls(self, service: ServiceState) -> int:
         is_small = len(service.balancer.states) <= SMALL_SERVICE
         return self._policy.polls if is_small else self._policy.polls_of_many
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -131,6 +131,7 @@
                 find_settings=lambda: self.settings,
                 names=names,
                 count_nodes=lambda: board.fleet_size.value,
+                is_current=lambda: self.plane.reading.is_current,
             )._replace(buffers=buffers),
             origin=settings.service,
         )
--- a/src/ibiswick/_internal/direct/policies.py
+++ b/src/ibiswick/_internal/direct/policies.py
@@ -34,11 +34,12 @@
     find_settings: Callable[[], DirectSettings],
     names: WireNames,
     count_nodes: Callable[[], int],
+    is_current: Callable[[], bool],
 ) -> CallPolicy:
     """Build the policy of the caller port.
 
     `find_settings` returns those in effect, which may be reloaded; `count_nodes` returns how many
-    nodes share the budget.
+    nodes share the budget; `is_current` tells whether the configuration was confirmed lately.
     """
 
     def build_budget(now: float) -> Budget:
@@ -61,6 +62,7 @@
         needs_slash=True,
         offered_bytes=OFFERED_BYTES,
         link_bytes_per_s=find_settings().link_bytes_per_s,
+        is_current=is_current,
     )
 
 
--- a/src/ibiswick/_internal/direct/reading.py
+++ b/src/ibiswick/_internal/direct/reading.py
@@ -47,6 +47,9 @@
 # wait for 0.2 s in either direction are not rare at a busy link.
 ANSWER_S = 0.5
 FIRST_ANSWER_S = 1.0
+# A configuration that nobody has confirmed for so long may have been replaced; changes are due in
+# 2 s.
+CURRENT_S = 2.0
 # How often a node looks whether it has to read itself.
 READER_CHECK_S = 0.25
 # A node to which no reader has confirmed its configuration for so long reads itself. Changes are
@@ -162,6 +165,13 @@
         heard_at = max(self._configuration_follower.answered_at, self._confirmed_at)
         return self._clock() - heard_at
 
+    @property
+    def is_current(self) -> bool:
+        """Tell whether this node would have heard of a newer configuration that is due."""
+        if self.is_reading and self._configuration_follower.lost_s < CURRENT_S:
+            return True
+        return self._clock() - self._confirmed_at < CURRENT_S
+
     @property
     def members_age_s(self) -> float:
         """Return the seconds since the object API or a reader last told the members."""
--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -194,3 +194,26 @@
         return watch.late
 
     assert run_slow_links(scenario) == []
+
+
+def test_a_route_is_not_denied_by_a_node_that_nobody_tells_anything() -> None:
+    """Guard against 404, after which callers do not come back, for a route that was just added."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[int], str, int]:
+        before = await mesh.call(7, "/nowhere/x", "a")
+        ports = [node.settings.exchange.port for node in mesh.nodes]
+        mesh.fetches[7].unreachable = True
+        for port in ports:
+            mesh.loop.darken(port)
+        await asyncio.sleep(4.0)
+        cut_off = await mesh.call(7, "/nowhere/x", "b")
+        known = await mesh.call(7, "/read/1/ok", "c")
+        statuses = [before.status, cut_off.status, known.status]
+        for port in ports:
+            mesh.loop.dark.discard(port)
+        mesh.fetches[7].unreachable = False
+        await asyncio.sleep(6.0)
+        after = await mesh.call(7, "/nowhere/x", "d")
+        return statuses, cut_off.headers["retry-after"], after.status
+
+    assert run_slow_links(scenario) == ([404, 503, 200], "0.500", 404)
