Start nodes with slow links from what a reader tells

A reader tells the same in 23 KB and half of the processor time. A node that knows the rate of its link, and whose fleet is large, waits up to 0.8 s for that; one that reads for others, or that nobody answers, lists as before.

--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -31,7 +31,8 @@
     """List the objects under a prefix, then watch them for ever.
 
     While `find_stale_s()` is not None, reads may be stale, and a watch waits at most so many
-    seconds. `hold_watch` returns once it is known that this node needs to watch.
+    seconds. `hold_list` and `hold_watch` return once it is known that this node needs to list, and
+    to watch.
 
     `apply` gets each listing, and whether it is complete or holds only changes. A read that fails
     changes nothing: what has been applied stays until a newer listing replaces it. Changes are
@@ -52,6 +53,7 @@
         rng: random.Random,
         find_gather_s: Callable[[], float],
         find_large_key: Callable[[], str | None] = lambda: None,
+        hold_list: Callable[[], Awaitable[None]] | None = None,
         hold_watch: Callable[[], Awaitable[None]] | None = None,
         find_stale_s: Callable[[], float | None] = lambda: None,
         era: Cell[int] | None = None,
@@ -68,6 +70,7 @@
         self._rng = rng
         self._find_gather_s = find_gather_s
         self._find_large_key = find_large_key
+        self._hold_list = hold_list
         self._hold_watch = hold_watch
         self._find_stale_s = find_stale_s
         # Whether the next listing has to be current: an old one may lie before the lost history.
@@ -124,6 +127,9 @@
     async def _step(self) -> None:
         """List once, or wait for the next changes."""
         if self._revision is None:
+            if self._hold_list is not None:
+                await self._hold_list()
+                self._hold_list = None
             await self._list(stale=self._find_stale_s() is not None and not self._needs_current)
         else:
             if self._hold_watch is not None:
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -111,6 +111,7 @@
         self.reading = Reading(
             vm=settings.vm,
             availability_zone=settings.availability_zone,
+            knows_link=settings.link_bytes_per_s > 0,
             board=board,
             platform=platform,
             configuration_key=configuration_key,
--- a/src/ibiswick/_internal/direct/reading.py
+++ b/src/ibiswick/_internal/direct/reading.py
@@ -60,6 +60,9 @@
 FIRST_POLL_S = 0.05
 SPARED_POLL_S = 0.5
 HOLD_WATCH_S = 0.5
+# How long a node that starts waits to be told the configuration by a reader. When the whole fleet
+# starts at once, readers know it after a few tenths of a second.
+HOLD_LIST_S = 0.8
 # A node has started after so many seconds: its backend server's first heartbeat comes within 1.5 s,
 # and it takes others as long to hear of it. Its watches are short until then.
 STARTING_S = 3.0
@@ -90,10 +93,11 @@
 class Reading:
     """Follow the object API, or ask the readers of it for what is new.
 
-    `apply_members` gets each listing of the members and whether it is complete. `publish_own` is
-    called when the node's own record may have to say more of it. `is_connected` tells whether a
-    connection to a node is free, and `has_common_cause` whether other nodes are probably silent
-    because of this node's link or processor.
+    With `knows_link`, readers are told by the rates of links, so this node need not measure its own
+    by a read. `apply_members` gets each listing of the members and whether it is complete.
+    `publish_own` is called when the node's own record may have to say more of it. `is_connected`
+    tells whether a connection to a node is free, and `has_common_cause` whether other nodes are
+    probably silent because of this node's link or processor.
     """
 
     def __init__(
@@ -101,6 +105,7 @@
         *,
         vm: str,
         availability_zone: str,
+        knows_link: bool,
         board: Blackboard,
         platform: Platform,
         configuration_key: str,
@@ -116,6 +121,7 @@
     ) -> None:
         self._vm = vm
         self._availability_zone = availability_zone
+        self._knows_link = knows_link
         self._board = board
         self._key = configuration_key
         self._configuration = configuration
@@ -140,6 +146,7 @@
             rng=rng,
             find_gather_s=self._find_configuration_gather_s,
             find_large_key=self._find_large_key,
+            hold_list=self._hold_list,
             hold_watch=self._hold_watch,
             find_stale_s=self._find_configuration_stale_s,
             era=board.store_era,
@@ -274,12 +281,32 @@
             await asyncio.sleep(SPARED_POLL_S if self._has_listed() else FIRST_POLL_S)
             # The time of the first read may have become known after the instance.
             self._publish_own()
-            has_read = self.read_ms > 0 or not self._configuration.is_large
-            if self._has_listed() and has_read and not self._is_reader():
+            is_ranked = self._knows_link or self.read_ms > 0 or not self._configuration.is_large
+            if self._has_listed() and is_ranked and not self._is_reader():
                 return
 
     def _has_listed(self) -> bool:
-        return all(item.has_listed for item in self._followers)
+        """Tell whether the members are listed, and the configuration is listed or was told."""
+        has_configuration = self._configuration.generation > 0
+        if not self._configuration_follower.has_listed and not (
+            self._knows_link and has_configuration
+        ):
+            return False
+        return self._members_follower.has_listed
+
+    async def _hold_list(self) -> None:
+        """Wait for a reader to tell the configuration, where others read for this node.
+
+        Told by another node it takes a twelfth of the bytes of a listing, which would fill a slow
+        link while the node's calls come back. Without an answer the node lists it after all.
+        """
+        if not self._knows_link:
+            return
+        until = self._clock() + HOLD_LIST_S
+        while self._clock() < until or self._configuration.generation > 0:
+            if self._members_follower.has_listed and self._is_reader():
+                return
+            await asyncio.sleep(FIRST_POLL_S)
 
     async def _hold_watch(self) -> None:
         """Wait until this node is known to watch.
@@ -331,7 +358,8 @@
         """Ask one reader after the other for what is new, while this node needs one."""
         while True:
             if not await self._ask_reader():
-                await asyncio.sleep(READER_CHECK_S)
+                has_none = self._configuration.generation == 0
+                await asyncio.sleep(FIRST_POLL_S if has_none else READER_CHECK_S)
 
     async def _ask_reader(self) -> bool:
         """Ask a reader for what is new; return False if there is none to ask."""
--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from typing import Any
+from unittest import mock
 
 import logbook
 import pytest
 
 from call_network import VirtualLoop, run_virtual
 from direct_network import DirectMesh
+from ibiswick._internal.direct import reading
 from platform_documents import build_large_listeners
 
 logbook.NullHandler().push_application()
@@ -76,7 +78,10 @@
 
 
 def run_slow_links(scenario: Any) -> Any:
-    """Run a scenario on a mesh where two VMs of each availability zone have fast links."""
+    """Run a scenario on a mesh where two VMs of each availability zone have fast links.
+
+    It counts as a large fleet, so that nodes know before they start that others read for them.
+    """
 
     async def main(loop: VirtualLoop) -> Any:
         links = {n: FAST_BYTES_PER_S if n in FAST else SLOW_BYTES_PER_S for n in range(NODES)}
@@ -89,7 +94,8 @@
         await asyncio.sleep(8)
         return await scenario(mesh)
 
-    return run_virtual(main)
+    with mock.patch.object(reading, "LARGE_FLEET", NODES):
+        return run_virtual(main)
 
 
 def count_slow_reads(mesh: DirectMesh) -> int:
@@ -217,3 +223,62 @@
         return statuses, cut_off.headers["retry-after"], after.status
 
     assert run_slow_links(scenario) == ([404, 503, 200], "0.500", 404)
+
+
+def list_configuration_calls(mesh: DirectMesh, index: int) -> list[str]:
+    """Return the calls for the configuration that a node has made."""
+    return [target for _, target in mesh.fetches[index].calls if "/config" in target]
+
+
+def test_a_node_with_a_slow_link_starts_with_what_a_reader_tells() -> None:
+    """Guard against starts that fill slow links with whole configurations.
+
+    Seen on bakony-rounds-grown: a start took 0.5 to 1.1 s of a link of 5 Mbit/s, while calls came
+    back to the node.
+    """
+
+    async def scenario(mesh: DirectMesh) -> tuple[list[str], int, bool]:
+        await mesh.kill(7)
+        mesh.fetches[7].calls.clear()
+        await mesh.restart(7)
+        await asyncio.sleep(0.4)
+        snapshot = mesh.nodes[7].board.snapshot.value
+        generation = snapshot.generation if snapshot is not None else 0
+        await asyncio.sleep(3.0)
+        is_reading = mesh.nodes[7].plane.reading.is_reading
+        return list_configuration_calls(mesh, 7), generation, is_reading
+
+    assert run_slow_links(scenario) == ([], 0x100, False)
+
+
+def test_a_fleet_that_starts_at_once_is_told_by_its_fast_links() -> None:
+    """Guard against a start of the whole fleet that waits for every slow link."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, int]:
+        for index in range(NODES):
+            await mesh.kill(index)
+        for fetch in mesh.fetches:
+            fetch.calls.clear()
+        for index in range(NODES):
+            await mesh.restart(index)
+        await asyncio.sleep(0.8)
+        told = sum(node.board.snapshot.value is not None for node in mesh.nodes)
+        await asyncio.sleep(3.0)
+        slow = (index for index in range(NODES) if index not in FAST)
+        return told, sum(len(list_configuration_calls(mesh, index)) for index in slow)
+
+    assert run_slow_links(scenario) == (NODES, 0)
+
+
+def test_a_node_that_no_reader_answers_lists_the_configuration_itself() -> None:
+    """Guard against a start that waits for readers that are all without power."""
+
+    async def scenario(mesh: DirectMesh) -> bool:
+        for index in range(NODES):
+            if index != 7:
+                await mesh.darken(index)
+        await mesh.restart(7)
+        await asyncio.sleep(2.0)
+        return mesh.nodes[7].board.snapshot.value is not None
+
+    assert run_slow_links(scenario)
