Look for a common cause before blaming VMs that do not answer

Now three silent VMs within a second, without any fast handshake, are taken for a fault of this side: the limit grows to 1 s and nobody is set aside for it. Handshakes may take twice as long as the fastest of the last ones. VMs that are silent for longer than that are blamed as before.

--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -12,6 +12,7 @@
 
 from ..shared.blackboard import Blackboard
 from ..shared.errors import (
+    ConnectTimeoutError,
     ExchangeError,
     ExchangeTimeoutError,
     NotSentError,
@@ -147,7 +148,8 @@
     """Hold the result of one attempt; `reached` tells that it may have reached a backend server.
 
     `wait_s` is how long a refused call would probably have waited there. `silent` tells that the
-    other machine has not even acknowledged what was sent.
+    other machine has not even acknowledged what was sent, `own_fault` that it could not be reached
+    for a reason on this side.
     """
 
     outcome: Outcome
@@ -160,6 +162,7 @@
     wait_s: float | None = None
     body: bytes | None = None
     silent: bool = False
+    own_fault: bool = False
 
 
 class Call:
@@ -647,7 +650,8 @@
         except ConnectionsBusyError as error:
             return Attempt(Outcome.NOT_RUN, str(error), is_busy=True, reached=False)
         except NotSentError as error:
-            return Attempt(Outcome.NOT_RUN, str(error), reached=False)
+            own_fault = isinstance(error, ConnectTimeoutError) and error.own_fault
+            return Attempt(Outcome.NOT_RUN, str(error), reached=False, own_fault=own_fault)
         except ExchangeTimeoutError as error:
             return Attempt(Outcome.TIMEOUT, str(error))
         except SilentPathError as error:
@@ -786,8 +790,8 @@
             return
         if attempt.outcome is Outcome.TIMEOUT:
             balancer.note_abandoned(state, latency_s=now - started)
-        if attempt.is_busy or attempt.wait_s is not None:
-            # The backend server is busy, not broken.
+        if attempt.is_busy or attempt.wait_s is not None or attempt.own_fault:
+            # The backend server is busy, or was not reached for a reason on this side.
             return
         reason = f"status-{status}" if status else attempt.outcome.value
         if self._policy.polls and (attempt.silent or not attempt.reached):
--- a/src/ibiswick/_internal/calls/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -773,9 +773,11 @@
         unacknowledged_s: float | None = None,
         probe_s: int | None = None,
         counts: CallCounts | None = None,
+        own_vm: str = "",
     ) -> None:
         self.connects = ConnectWatch()
         self._counts = counts or CallCounts()
+        self._own_vm = own_vm
         self._told_at = 0.0
         self._unacknowledged_s = unacknowledged_s
         self._probe_s = probe_s
@@ -831,7 +833,8 @@
         opened = False
         started = time.monotonic()
         try:
-            async with asyncio.timeout(min(limits.connect_s, _limit_wait(limits))):
+            connect_s = self.connects.find_limit(limits.connect_s, now=started)
+            async with asyncio.timeout(min(connect_s, _limit_wait(limits))):
                 transport, _ = await loop.create_connection(
                     lambda: connection, remote.host, remote.port, ssl=self._ssl
                 )
@@ -839,9 +842,11 @@
             opened = True
             self._note_opened(remote, time.monotonic() - started)
         except TimeoutError:
-            self._note_unanswered(remote, time.monotonic() - started)
+            waited_s = time.monotonic() - started
+            self._note_unanswered(remote, waited_s)
+            own_fault = self.connects.is_own_fault(waited_s, now=time.monotonic())
             detail = f"connecting to {remote.host}:{remote.port} took too long"
-            raise ConnectTimeoutError(detail) from None
+            raise ConnectTimeoutError(detail, own_fault=own_fault) from None
         except (OSError, ssl.SSLError) as error:
             self._counts.observe(
                 "ibiswick_connect_seconds", "result", "refused", time.monotonic() - started
@@ -861,13 +866,18 @@
         return connection
 
     def _note_opened(self, remote: Remote, seconds: float) -> None:
-        self.connects.note_opened(remote.host, seconds, now=time.monotonic())
+        if not self._is_own(remote):
+            self.connects.note_opened(seconds, now=time.monotonic())
         self._counts.observe("ibiswick_connect_seconds", "result", "opened", seconds)
 
+    def _is_own(self, remote: Remote) -> bool:
+        """Tell whether a connection stays on this VM, and so says nothing of its link."""
+        return bool(remote.vm) and remote.vm == self._own_vm
+
     def _note_unanswered(self, remote: Remote, seconds: float) -> None:
         """Note a handshake that was given up, and tell when many are at once."""
         now = time.monotonic()
-        self.connects.note_unanswered(remote.host, now=now)
+        self.connects.note_unanswered(remote.vm or remote.host, now=now)
         self._counts.observe("ibiswick_connect_seconds", "result", "unanswered", seconds)
         summary = self.connects.summarize(now=now)
         if summary.vms < COMMON_CAUSE_VMS or now - self._told_at < CONNECT_LINE_S:
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -104,6 +104,7 @@
             idle_limit_s=PEER_IDLE_LIMIT_S,
             unacknowledged_s=UNACKNOWLEDGED_S,
             counts=self.counts,
+            own_vm=settings.vm,
         )
         self._backend = Pool(idle_limit_s=BACKEND_IDLE_LIMIT_S, unacknowledged_s=UNACKNOWLEDGED_S)
         self.plane = DirectPlane(
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -635,4 +635,4 @@
 
 
 def _find_exchange(record: NodeRecord) -> Remote:
-    return Remote(record.host, record.exchange_port)
+    return Remote(record.host, record.exchange_port, record.vm)
--- a/src/ibiswick/_internal/shared/errors.py
+++ b/src/ibiswick/_internal/shared/errors.py
@@ -193,10 +193,17 @@
 
 
 class ConnectTimeoutError(NotSentError):
-    """Report an exchange for which no connection could be opened in time."""
+    """Report an exchange for which no connection could be opened in time.
+
+    With `own_fault`, the reason is probably on this side, and says nothing of the other machine.
+    """
 
     code = "connect-timeout"
 
+    def __init__(self, detail: str, *, own_fault: bool = False) -> None:
+        super().__init__(detail)
+        self.own_fault = own_fault
+
 
 class ResponseLostError(ExchangeError):
     """Report an exchange that was sent, at least in part, and has no complete response."""
--- a/tests/test_connects.py
+++ b/tests/test_connects.py
@@ -9,8 +9,9 @@
 import pytest
 
 from call_network import VirtualLoop, run_virtual
+from direct_network import DirectMesh
 from ibiswick._internal.calls.callcounts import CallCounts
-from ibiswick._internal.calls.connects import ConnectWatch
+from ibiswick._internal.calls.connects import COMMON_CAUSE_VMS, ConnectWatch
 from ibiswick._internal.calls.pool import Limits, Pool, Remote, Request, read_whole
 from ibiswick._internal.shared.errors import NotSentError
 
@@ -45,7 +46,7 @@
     for number in range(9):
         watch.note_unanswered(f"10.0.0.{number}", now=1.0)
     assert watch.has_common_cause(now=1.0)
-    watch.note_opened("10.0.1.1", 0.003, now=1.1)
+    watch.note_opened(0.003, now=1.1)
     assert not watch.has_common_cause(now=1.1)
 
 
@@ -54,7 +55,7 @@
     watch = ConnectWatch()
     for number in range(3):
         watch.note_unanswered(f"10.0.0.{number}", now=1.0)
-    watch.note_opened("10.0.1.1", 0.28, now=1.1)
+    watch.note_opened(0.28, now=1.1)
     assert watch.has_common_cause(now=1.1)
 
 
@@ -89,3 +90,63 @@
     assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 1000
     pool.close()
     server.close()
+
+
+NODES = 12
+DARK = range(1, NODES, 2)
+
+
+async def make_calls(mesh: DirectMesh, path: str, seconds: float) -> None:
+    """Make bursts of calls at one node, which need the slots of every VM."""
+    end = mesh.loop.now + seconds
+    calls = []
+    while mesh.loop.now < end:
+        calls += [asyncio.create_task(mesh.call(0, path, f"c{len(calls)}-{n}")) for n in range(40)]
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*calls)
+
+
+def list_ejected(*, wait_s: float, dark: bool) -> list[int]:
+    """Return the VMs that a node has set aside as silent after it has called for some seconds.
+
+    Its packets wait for `wait_s` in either direction. With `dark`, half of the VMs lose power.
+    """
+
+    async def main(loop: VirtualLoop) -> list[int]:
+        mesh = DirectMesh(loop, ["counter"] * NODES)
+        await mesh.start()
+        loop.link_waits["vm-0"] = wait_s
+        # New connections to every VM, as after a restart of the fleet.
+        mesh.nodes[0]._peers.close()
+        mesh.nodes[0]._peers._closed = False
+        for index in DARK if dark else ():
+            await mesh.darken(index)
+        # Longer calls need more VMs; behind a full link they would miss their deadline.
+        await make_calls(mesh, "/read/1/ok" if wait_s else "/read/1/slow", 5.0)
+        balancer = mesh.nodes[0]._outbound._services["counter"].balancer
+        unreached = [state for state in balancer._ejected if state.needs_probe]
+        return sorted(int(state.endpoint.vm[3:]) for state in unreached)
+
+    return run_virtual(main)
+
+
+def test_a_full_link_is_not_blamed_on_other_vms() -> None:
+    """Guard against a node that sets all others aside because its own link is full.
+
+    Seen on bakony-rounds-grown trouble-2: a node gave up connecting to 47 VMs within a second and
+    set aside each of them, while each failure sent its call to the next VM. The first two failures
+    can't know.
+    """
+    assert len(list_ejected(wait_s=0.2, dark=False)) < COMMON_CAUSE_VMS
+
+
+def test_vms_without_power_are_set_aside() -> None:
+    """Guard against half of a fleet without power that is taken for a fault of the own link."""
+    assert list_ejected(wait_s=0.0, dark=True) == list(DARK)
+
+
+def test_vms_without_power_are_set_aside_by_a_node_with_a_full_link() -> None:
+    """Guard against a full link that hides that other VMs are gone."""
+    ejected = list_ejected(wait_s=0.2, dark=True)
+    assert set(DARK) <= set(ejected)
+    assert len(set(ejected) - set(DARK)) < COMMON_CAUSE_VMS
