--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import Any
 from unittest import mock
 
 import logbook
 import pytest
 
+from builders import build_node_record
 from call_network import VirtualLoop, run_virtual
 from direct_network import DirectMesh
 from ibiswick._internal.direct import reading
+from ibiswick._internal.direct.members import NodeRecord
+from ibiswick._internal.direct.readers import ReaderBook
 from platform_documents import build_large_listeners
 
 logbook.NullHandler().push_application()
@@ -282,3 +286,75 @@
         return mesh.nodes[7].board.snapshot.value is not None
 
     assert run_slow_links(scenario)
+
+
+def build_records() -> list[NodeRecord]:
+    """Build two availability zones with two fast links and two slow ones each."""
+    rates = (FAST_BYTES_PER_S, FAST_BYTES_PER_S, SLOW_BYTES_PER_S, SLOW_BYTES_PER_S)
+    return [
+        build_node_record(vm=f"{zone}-{n}", availability_zone=zone, link_bytes_per_s=rate)
+        for zone in ("a", "b")
+        for n, rate in enumerate(rates)
+    ]
+
+
+def build_book(vm: str = "a-3") -> ReaderBook:
+    return ReaderBook(vm=vm, availability_zone="a", rng=random.Random(1))
+
+
+def test_a_fast_link_stays_a_reader_while_it_restarts() -> None:
+    """Guard against a slow link that reads because a fast one has not read yet or stops."""
+    records = build_records()
+    stopping = records[0]._replace(accepting=False, instance="i", read_ms=0)
+    records[0] = stopping
+    assert not build_book("a-2").is_reader(records, now=0.0)
+    assert build_book("a-0").is_reader(records, now=0.0)
+    assert build_book("a-1").is_reader(records, now=0.0)
+
+
+def test_readers_elsewhere_are_asked_before_a_slow_link_reads() -> None:
+    """Guard against a slow link that reads while fast ones of other zones answer."""
+    records, book = build_records(), build_book("a-2")
+    for vm in ("a-0", "a-1"):
+        book.note_failure(vm, now=0.0, is_away=False)
+    chosen = book.choose(records, now=0.1, asked=())
+    assert chosen is not None
+    assert chosen.availability_zone == "b"
+    assert not book.is_reader(records, now=0.1)
+    for vm in ("b-0", "b-1"):
+        book.note_failure(vm, now=0.2, is_away=False)
+    assert book.is_reader(records, now=0.3)
+
+
+def test_a_reader_that_is_away_is_asked_again_soon() -> None:
+    """Guard against readers that are left alone for seconds after a planned restart."""
+    records, book = build_records(), build_book()
+    book.note_failure("a-0", now=0.0, is_away=True)
+    book.note_failure("a-1", now=0.0, is_away=False)
+    near = {book.choose(records, now=0.1, asked=()).availability_zone}  # type: ignore[union-attr]
+    assert near == {"b"}
+    chosen = book.choose(records, now=1.0, asked=())
+    assert chosen is not None
+    assert chosen.vm == "a-0"
+
+
+def test_a_reader_that_stays_away_is_replaced_until_it_is_back() -> None:
+    """Guard against a zone without readers of its own after two VMs have gone for good."""
+    records, book = build_records(), build_book("a-2")
+    for now in range(7):
+        for vm in ("a-0", "a-1"):
+            book.note_failure(vm, now=float(now), is_away=True)
+    assert book.is_reader(records, now=7.0)
+    book.note_told("a-0")
+    book.note_told("a-1")
+    assert not book.is_reader(records, now=7.0)
+
+
+def test_questions_at_the_same_time_go_to_different_readers() -> None:
+    """Guard against two questions that both wait for the same silent reader."""
+    records, book = build_records(), build_book()
+    first = book.choose(records, now=0.0, asked=())
+    assert first is not None
+    second = book.choose(records, now=0.0, asked={first.vm})
+    assert second is not None
+    assert {first.vm, second.vm} == {"a-0", "a-1"}
