Count versions of the configuration exactly in the stand-in of the store

Traced: a reader's watch took up to 2 s too long, because the stand-in took each revision for a version of the configuration, also those of members' entries.

--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -214,6 +214,8 @@
         # Rates of the VMs' links in bytes/s, as the settings tell them.
         self.links = links or {}
         self.store = ObjectStore()
+        # The revisions of all versions of the configuration.
+        self.written: list[int] = []
         self.fetches: list[StoreFetch] = []
         self.backends: list[FakeBackendServer] = []
         self.nodes: list[DirectNode] = []
@@ -227,7 +229,7 @@
     def write_configuration(self, version: str = "0000000c", **changes: Any) -> None:
         """Write a configuration as the operator does."""
         document = build_configuration(version) | changes
-        self.store.put(CONFIGURATION_KEY, document)
+        self.written.append(self.store.put(CONFIGURATION_KEY, document))
         for fetch in self.fetches:
             fetch.wake()
 
@@ -268,6 +270,7 @@
         )
         self.backends.append(backend)
         fetch = StoreFetch(self.store)
+        fetch.written = self.written
         self.fetches.append(fetch)
         node = self._build_node(settings, fetch, index)
         self.nodes.append(node)
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -33,6 +33,7 @@
     * `delay_s`: how long a read of the configuration takes to arrive.
     * `tells_era`: whether answers name the era of the store.
     * `carry`: carries so many versions of the configuration over the link of the VM.
+    * `written`: the revisions of all versions of the configuration.
     * `past`: what reads that may be stale return, instead of the present.
 
     A watch sends each version of an object, as many as there were; `versions_sent` counts those of
@@ -48,6 +49,7 @@
         self.page = 500
         self.delay_s = 0.0
         self.carry: Callable[[int], Awaitable[None]] = _carry_at_once
+        self.written: list[int] = []
         self.past: ObjectStore | None = None
         self.tells_era = True
         self.calls_per_s: int | None = None
@@ -130,9 +132,7 @@
                 pass
             changes = self.store.list_changes(kind + "/", after=after)
         if kind == CONFIGURATION_KIND and changes.objects:
-            # A node that writes its entry takes a revision too, which makes this an upper bound
-            # where entries are written.
-            versions = max(0, changes.revision - after)
+            versions = sum(after < revision <= changes.revision for revision in self.written)
             self.versions_sent += versions
             await self.carry(versions)
         events = [
