Separate connections and the description of exchanges from the pool

Exchanges (requests, limits, responses and their bodies) and connections with their buckets are modules of their own; the pool keeps choosing and opening connections. The tests of calls, sockets, failures and nodes pass unchanged but for imports.

--- a/src/ibiswick/_internal/calls/answers.py
+++ b/src/ibiswick/_internal/calls/answers.py
@@ -8,8 +8,8 @@
 from ..shared.errors import ResponseLostError
 from ..shared.records import Phase
 from .admission import format_retry_after
+from .exchanges import ExchangeResponse, Headers
 from .heads import OUTCOME, OUTCOME_NOT_RUN, OUTCOME_REJECTED, OUTCOME_UNKNOWN
-from .pool import ExchangeResponse, Headers
 from .serving import AbortResponseError, ServerRequest, encode_problem
 
 
--- /dev/null
+++ b/src/ibiswick/_internal/calls/connections.py
@@ -0,0 +1,606 @@
+"""Carry exchanges over one connection each, and keep the connections to one remote.
+
+A connection carries one exchange at a time. It is reused only after an exchange that ended
+completely and in order; after a timeout, a cancellation, a mismatched call id or bytes that belong
+to no exchange it is closed, because a late response must never reach another call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import time
+from collections import deque
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httptools
+
+from ..shared.errors import (
+    ExchangeTimeoutError,
+    NotSentError,
+    ResponseLostError,
+    SilentPathError,
+)
+from .exchanges import Headers, Limits, Request
+from .parts import Parts
+
+# Bytes of a response that may wait for their reader before the connection stops reading.
+RESPONSE_HIGH_WATER_BYTES = 256 * 1024
+MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+# Bytes of framing for each byte of content that a response may have; a chunk of one byte takes six.
+MAX_FRAMING_RATIO = 8
+# More digits than any length that is allowed has.
+MAX_LENGTH_DIGITS = 18
+CONTINUE_STATUS = 100
+MAX_STATUS = 599
+# A request that is sent so shortly before the server's idle timeout may meet a closed connection.
+IDLE_MARGIN_S = 0.5
+
+
+class Response(Parts):
+    """Collect the response of one exchange."""
+
+    __slots__ = (
+        "_connection",
+        "complete",
+        "error",
+        "has_head",
+        "headers",
+        "status",
+    )
+
+    def __init__(self, connection: Connection) -> None:
+        super().__init__()
+        self._connection = connection
+        self.complete = False
+        self.has_head = False
+        self.error: ResponseLostError | None = None
+        self.status = 0
+        self.headers: Headers = []
+
+    def add(self, part: bytes) -> None:
+        """Keep a part of the body and stop the sender when the reader is slow."""
+        self._parts.append(part)
+        self._size += len(part)
+        if self._size > RESPONSE_HIGH_WATER_BYTES:
+            self._connection.pause_reading()
+
+    async def wait_head(self) -> None:
+        """Wait for the head; raise ResponseLostError when it will not come."""
+        while not self.has_head:
+            if self.error is not None:
+                raise self.error
+            await self._wait()
+
+    async def _wait(self) -> None:
+        self._waiter = waiter = self._connection.loop.create_future()
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    def take(self) -> bytes:
+        """Return what has arrived of the body, without waiting."""
+        if not self._parts:
+            return b""
+        body = self._join()
+        if not self.complete:
+            self._connection.resume_reading()
+        return body
+
+    async def read(self) -> bytes:
+        """Return the next part of the body, or nothing at its end."""
+        while True:
+            if self._parts:
+                return self.take()
+            if self.complete:
+                return b""
+            if self.error is not None:
+                raise self.error
+            await self._wait()
+
+    def close(self) -> None:
+        """Give up the rest of the body, which cancels the exchange."""
+        if not self.complete:
+            self._connection.fail(ResponseLostError("the exchange was cancelled"))
+
+
+class Connection(asyncio.Protocol):
+    """Carry one exchange at a time over one connection."""
+
+    __slots__ = (
+        "_bucket",
+        "_content_bytes",
+        "_continued",
+        "_deadline",
+        "_due",
+        "_idle_s",
+        "_is_head",
+        "_limits",
+        "_parser",
+        "_reading_paused",
+        "_received_bytes",
+        "_response",
+        "_sender",
+        "_sent_at",
+        "_skipping",
+        "_surplus",
+        "_timer",
+        "_timer_at",
+        "_transport",
+        "_until_close",
+        "_writable",
+        "head_bytes",
+        "idle_limit_s",
+        "idle_since",
+        "loop",
+        "progress_at",
+        "received_at",
+    )
+
+    def __init__(self, bucket: Bucket, loop: asyncio.AbstractEventLoop) -> None:
+        self._bucket = bucket
+        self.loop = loop
+        self._parser: httptools.HttpResponseParser | None = None
+        self._transport: asyncio.Transport | None = None
+        self._response: Response | None = None
+        self._sender: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._limits = Limits(None)
+        self._continued: asyncio.Future[None] | None = None
+        self._deadline: float | None = None
+        self._due: float | None = None
+        self._timer_at = 0.0
+        self._idle_s: float | None = None
+        self._is_head = False
+        self._surplus = False
+        # The response that arrives answers an earlier call.
+        self._skipping = False
+        # The end of the connection ends the body.
+        self._until_close = False
+        self._reading_paused = False
+        self._sent_at = 0.0
+        # Bytes received in the exchange, and those of them that are content of its response.
+        self._received_bytes = 0
+        self._content_bytes = 0
+        self.head_bytes = 0
+        self.received_at = 0.0
+        self.progress_at = 0.0
+        self.idle_since = 0.0
+        # How long the server keeps the connection without a request, as it said last.
+        self.idle_limit_s: float | None = None
+
+    # Transport callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        self.received_at = time.monotonic()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._bucket.forget(self)
+        detail = f"the connection was lost: {exc or 'closed by the server'}"
+        is_silent = isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT
+        self.fail(SilentPathError(detail) if is_silent else ResponseLostError(detail))
+        self._parser = None
+        self.resume_writing()
+
+    def pause_writing(self) -> None:
+        self._writable = self.loop.create_future()
+
+    def resume_writing(self) -> None:
+        self.progress_at = time.monotonic()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def data_received(self, data: bytes) -> None:
+        response = self._response
+        if response is None or self._parser is None:
+            # Nobody asked for these bytes; they would be taken for the next call's response.
+            self.abort()
+            return
+        self.received_at = self.progress_at = time.monotonic()
+        self._received_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fail(ResponseLostError("the server switched protocols"))
+        except httptools.HttpParserError as error:
+            reason = error.__context__ or error
+            if not response.complete:
+                self.fail(ResponseLostError(f"malformed response: {reason}"))
+            self._surplus = True
+        if response.complete:
+            self._finish(response)
+        elif self._is_flooded():
+            self.fail(ResponseLostError("more bytes than a response may have besides its content"))
+        elif response.has_head:
+            response.wake()
+
+    def _is_flooded(self) -> bool:
+        """Tell whether too much has come that is no content: framing, trailers, other responses."""
+        allowed = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_RATIO * self._content_bytes
+        return self._received_bytes - self._content_bytes > allowed
+
+    def eof_received(self) -> None:
+        response = self._response
+        if response is not None and response.has_head and self._until_close:
+            response.complete = True
+            self._surplus = True
+            self._finish(response)
+
+    # Parser callbacks
+
+    def on_message_begin(self) -> None:
+        self._skipping = False
+        response = self._response
+        if response is None or response.complete:
+            self._surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.head_bytes += len(name) + len(value)
+        if self.head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            raise ValueError("the response head is too large")
+        response = self._response
+        if response is None or response.complete or response.has_head or self._skipping:
+            # Trailers are not passed on.
+            return
+        response.headers.append((name.lower(), value.rstrip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        response, parser = self._response, self._parser
+        if response is None or parser is None or response.complete:
+            return
+        status = parser.get_status_code()
+        if status < 200:
+            return
+        if status > MAX_STATUS:
+            raise ValueError(f"the status {status} does not exist")
+        limits = self._limits
+        call_id = None
+        has_length = self._is_head or status in (204, 304)
+        for name, value in response.headers:
+            if name == b"content-length" or name == b"transfer-encoding":
+                has_length = True
+                self._check_length(name, value)
+            elif name == b"keep-alive":
+                self.idle_limit_s = parse_keep_alive(value)
+            if name == limits.call_header:
+                call_id = value
+        if limits.skip_others and call_id is not None and call_id != limits.call_id:
+            self._skip(response)
+            return
+        if limits.call_id is not None and call_id != limits.call_id and not limits.skip_others:
+            raise ValueError("the response belongs to another call")
+        if not has_length:
+            if not limits.until_close:
+                # The end of such a body cannot be told from a lost connection.
+                raise ValueError("the response has no length")
+            self._until_close = True
+        response.status = status
+        response.has_head = True
+        if self._is_head:
+            # The parser would wait for the body that the length announces.
+            self._surplus = not parser.should_keep_alive() or self._surplus
+            response.complete = True
+
+    def _check_length(self, name: bytes, value: bytes) -> None:
+        """Raise ValueError when a response announces more than may be kept."""
+        limit = self._limits.body_bytes
+        if limit is None or name != b"content-length" or self._is_head:
+            return
+        # The parser has checked that the value is a number.
+        if int(value[:MAX_LENGTH_DIGITS]) > limit:
+            raise ValueError(f"the response announces more than {limit} bytes")
+
+    def _skip(self, response: Response) -> None:
+        """Ignore a response to an earlier call; the one that is awaited may follow."""
+        response.headers.clear()
+        self._skipping = True
+        self._surplus = True
+
+    def on_body(self, body: bytes) -> None:
+        if self._skipping:
+            return
+        response = self._response
+        if response is None or response.complete:
+            self._surplus = True
+        else:
+            self._content_bytes += len(body)
+            response.add(body)
+
+    def on_message_complete(self) -> None:
+        response, parser = self._response, self._parser
+        if response is None or parser is None or response.complete or self._skipping:
+            return
+        if not response.has_head:
+            # An interim response (1xx); the final one follows.
+            response.headers.clear()
+            self._note_interim(parser.get_status_code())
+            return
+        response.complete = True
+        if not parser.should_keep_alive():
+            self._surplus = True
+
+    def _note_interim(self, status: int) -> None:
+        continued = self._continued
+        if status == CONTINUE_STATUS and continued is not None and not continued.done():
+            continued.set_result(None)
+
+    # Exchange
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the connection can carry an exchange."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def begin(self, request: Request, limits: Limits) -> Response:
+        """Send a request and return the response that will be filled."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise NotSentError("the connection was closed before the request")
+        if self._parser is None:
+            self._parser = httptools.HttpResponseParser(self)
+        self._response = response = Response(self)
+        self._limits = limits
+        self._skipping = self._until_close = False
+        self._is_head = request.is_head
+        self._surplus = False
+        self.head_bytes = self._received_bytes = self._content_bytes = 0
+        now = time.monotonic()
+        self._sent_at = self.progress_at = now
+        self._idle_s = limits.idle_s
+        self._deadline = limits.deadline
+        if limits.idle_s is not None:
+            self._arm(now + limits.idle_s, now)
+        elif limits.deadline is not None:
+            due = limits.deadline if limits.head_deadline is None else limits.head_deadline
+            self._arm(due, now)
+        transport.write(request.head + request.body if request.body else request.head)
+        if request.stream is not None:
+            self._continued = self.loop.create_future() if request.await_continue else None
+            self._sender = self.loop.create_task(self._send(request.stream, request.chunked))
+        return response
+
+    async def _send(self, stream: AsyncIterator[bytes], chunked: bool) -> None:
+        """Send a body as it comes, at the speed of the receiver."""
+        if self._continued is not None:
+            await self._continued
+        try:
+            async for part in stream:
+                if not part:
+                    continue
+                self.progress_at = time.monotonic()
+                if chunked:
+                    part = b"%x\r\n%b\r\n" % (len(part), part)
+                await self._write(part)
+            if chunked:
+                await self._write(b"0\r\n\r\n")
+        except Exception as error:
+            self.fail(ResponseLostError(f"the request body ended early: {error}"))
+            return
+        self._sender = None
+
+    async def _write(self, data: bytes) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise ConnectionError("the connection was closed")
+        transport.write(data)
+        if self._writable is not None:
+            await asyncio.shield(self._writable)
+
+    def _arm(self, due: float, now: float) -> None:
+        """Set when the exchange expires.
+
+        A timer that is already running is kept when it fires early enough: creating one for each
+        exchange costs more than letting one fire now and then for nothing.
+        """
+        self._due = due
+        if self._timer is not None:
+            if self._timer_at <= due:
+                return
+            self._timer.cancel()
+        self._timer_at = due
+        self._timer = self.loop.call_later(max(0.0, due - now), self._check_time)
+
+    def _check_time(self) -> None:
+        self._timer = None
+        due, response = self._due, self._response
+        if due is None or response is None:
+            return
+        if self._idle_s is not None:
+            due = self.progress_at + self._idle_s
+        elif response.has_head and self._deadline is not None:
+            # A response that has begun has the time up to the deadline of the whole call.
+            due = self._deadline
+        now = time.monotonic()
+        if now < due:
+            self._arm(due, now)
+        else:
+            self._expire()
+
+    def _expire(self) -> None:
+        self.fail(ExchangeTimeoutError("no complete response in time"))
+        # A silent path tends to be silent for every connection that was opened over it.
+        self._bucket.close_silent(since=self._sent_at)
+
+    def _finish(self, response: Response) -> None:
+        """End a complete exchange and give the connection back if it is clean."""
+        self._due = None
+        sender, self._sender = self._sender, None
+        if sender is not None:
+            # The server answered before the whole body was sent, so the rest must not follow.
+            sender.cancel()
+            self._surplus = True
+        self._response = None
+        self.resume_reading()
+        if self._is_head:
+            # The parser still waits for the body that the length announced.
+            self._parser = None
+        if self._surplus:
+            self.abort()
+        else:
+            self._bucket.release(self)
+        response.wake()
+
+    def is_stale(self, *, now: float, idle_limit_s: float) -> bool:
+        """Tell whether the server may close the connection before it reads another request."""
+        if self.idle_limit_s is not None:
+            idle_limit_s = min(idle_limit_s, self.idle_limit_s - IDLE_MARGIN_S)
+        return now - self.idle_since > idle_limit_s
+
+    def fail(self, error: ResponseLostError) -> None:
+        """End the exchange with an error and close the connection."""
+        sender, self._sender = self._sender, None
+        if sender is not None and sender is not asyncio.current_task(self.loop):
+            sender.cancel()
+        response, self._response = self._response, None
+        if response is not None and not response.complete:
+            response.error = error
+            response.wake()
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._due = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._bucket.forget(self)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stop reading until the reader of the response catches up."""
+        if not self._reading_paused and self.usable and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._reading_paused:
+            self._reading_paused = False
+            self.progress_at = time.monotonic()
+            if self.usable and self._transport is not None:
+                self._transport.resume_reading()
+
+    def get_certificate(self) -> dict[str, Any] | None:
+        """Return the certificate of the server."""
+        if self._transport is None:
+            return None
+        return self._transport.get_extra_info("peercert")
+
+
+def parse_keep_alive(value: bytes) -> float | None:
+    """Return the seconds of the parameter `timeout` of a `Keep-Alive` header, if it has one.
+
+    >>> parse_keep_alive(b"timeout=5, max=100"), parse_keep_alive(b"max=100")
+    (5.0, None)
+    """
+    for parameter in value.split(b","):
+        name, _, number = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number[:6])
+    return None
+
+
+class Bucket:
+    """Hold the connections to one remote."""
+
+    __slots__ = ("_idle", "_open", "_waiting", "opening")
+
+    def __init__(self) -> None:
+        self._idle: list[Connection] = []
+        self._open: set[Connection] = set()
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self.opening = 0
+
+    @property
+    def size(self) -> int:
+        """Return the number of open connections and of those being opened."""
+        return len(self._open) + self.opening
+
+    @property
+    def idle(self) -> int:
+        """Return the number of connections without an exchange."""
+        return len(self._idle)
+
+    def add(self, connection: Connection) -> None:
+        """Count a new connection."""
+        self._open.add(connection)
+
+    def release(self, connection: Connection) -> None:
+        """Keep a clean connection for the next exchange."""
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
+        self.wake_waiter()
+
+    def forget(self, connection: Connection) -> None:
+        """Drop a closed connection."""
+        if connection in self._open:
+            self._open.discard(connection)
+            with contextlib.suppress(ValueError):
+                self._idle.remove(connection)
+            self.wake_waiter()
+
+    def wake_waiter(self) -> None:
+        """Wake the call that has waited longest for a connection."""
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def take(
+        self, *, now: float, idle_limit_s: float, alive_within_s: float | None
+    ) -> Connection | None:
+        """Return the connection used last, if it is fresh enough."""
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.usable or connection.is_stale(now=now, idle_limit_s=idle_limit_s):
+                self._idle.pop()
+                connection.abort()
+                continue
+            if alive_within_s is not None and now - connection.received_at > alive_within_s:
+                return None
+            return self._idle.pop()
+        return None
+
+    def close_oldest_idle(self) -> bool:
+        """Close one idle connection to make room for a new one."""
+        if not self._idle:
+            return False
+        self._idle[0].abort()
+        return True
+
+    def close_silent(self, *, since: float) -> None:
+        """Close the idle connections that have received nothing since a moment."""
+        for connection in [c for c in self._idle if c.received_at < since]:
+            connection.abort()
+
+    def close_expired(self, *, now: float, idle_limit_s: float) -> None:
+        """Close the connections that were idle too long."""
+        for connection in list(self._idle):
+            if connection.is_stale(now=now, idle_limit_s=idle_limit_s):
+                connection.abort()
+
+    def close_all(self) -> None:
+        """Close every connection."""
+        for connection in list(self._open):
+            connection.abort()
+
+    async def wait_release(self, loop: asyncio.AbstractEventLoop, timeout_s: float) -> None:
+        """Wait until a connection is released or closed; raise TimeoutError."""
+        waiter = loop.create_future()
+        self._waiting.append(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+        except BaseException:
+            if waiter.done() and not waiter.cancelled():
+                self.wake_waiter()
+            raise
--- a/src/ibiswick/_internal/calls/dataplane.py
+++ b/src/ibiswick/_internal/calls/dataplane.py
@@ -18,9 +18,10 @@
 from ..shared.settings import NodeSettings
 from ..shared.tls import build_client_context, build_server_context, parse_identity
 from .callcounts import CallCounts
+from .exchanges import Limits, Remote, Request
 from .inbound import Inbound
 from .outbound import Outbound
-from .pool import Limits, Pool, PoolFetch, Remote, Request
+from .pool import Pool, PoolFetch
 from .serving import Listener, ServerRequest
 
 METRICS_FORMAT = "text/plain"
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from .bodies import RequestBody
-from .pool import Headers
+from .exchanges import Headers
 
 OUTCOME = b"ibiswick-outcome"
 CALL = b"ibiswick-call"
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -25,6 +25,16 @@
 )
 from .bodies import MAX_REPLAY_BYTES, RequestBody
 from .callcounts import CallCounts
+from .exchanges import (
+    ByteBudget,
+    Exchange,
+    ExchangeResponse,
+    Headers,
+    Limits,
+    Remote,
+    Request,
+    read_whole,
+)
 from .heads import (
     CALL,
     DEADLINE,
@@ -44,16 +54,6 @@
     read_response_head,
     write_framing,
 )
-from .pool import (
-    ByteBudget,
-    Exchange,
-    ExchangeResponse,
-    Headers,
-    Limits,
-    Remote,
-    Request,
-    read_whole,
-)
 from .serving import AbortResponseError, ServerRequest, read_problem_detail
 from .turns import BodyTurns
 
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -33,6 +33,16 @@
 from .balance import SMALL_SERVICE, Balancer, EndpointState, HealthChange
 from .bodies import MAX_REPLAY_BYTES, RequestBody, choose_slower_link, pace_parts
 from .callcounts import CallCounts
+from .exchanges import (
+    ByteBudget,
+    ConnectionsBusyError,
+    Exchange,
+    ExchangeResponse,
+    Limits,
+    Remote,
+    Request,
+    read_whole,
+)
 from .heads import (
     CALL,
     DEADLINE,
@@ -54,16 +64,6 @@
     read_response_head,
     write_framing,
 )
-from .pool import (
-    ByteBudget,
-    ConnectionsBusyError,
-    Exchange,
-    ExchangeResponse,
-    Limits,
-    Remote,
-    Request,
-    read_whole,
-)
 from .retries import (
     MIN_ATTEMPT_S,
     Budget,
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -9,10 +9,11 @@
 from typing import NamedTuple, Protocol
 
 from ..calls.callcounts import CallCounts
+from ..calls.exchanges import Remote
 from ..calls.heads import WireNames
 from ..calls.inbound import Inbound
 from ..calls.outbound import Outbound
-from ..calls.pool import Pool, Remote
+from ..calls.pool import Pool
 from ..calls.serving import Listener, ServerRequest
 from ..shared.blackboard import Blackboard
 from ..shared.errors import InvalidInputError
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from ..calls.callcounts import CallCounts
-from ..calls.pool import Limits, Pool, Remote, Request, read_whole
+from ..calls.exchanges import Limits, Remote, Request, read_whole
+from ..calls.pool import Pool
 from ..calls.serving import AbortResponseError, ServerRequest
 from ..shared.blackboard import Blackboard
 from ..shared.errors import (
--- a/src/ibiswick/_internal/direct/policies.py
+++ b/src/ibiswick/_internal/direct/policies.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable
 
+from ..calls.exchanges import ByteBudget
 from ..calls.heads import WireNames
 from ..calls.inbound import AdmissionPolicy
 from ..calls.outbound import CallPolicy
-from ..calls.pool import ByteBudget
 from ..calls.retries import Budget, RetryWindow
 from .settings import DirectSettings
 
--- a/src/ibiswick/_internal/model/exchange.py
+++ b/src/ibiswick/_internal/model/exchange.py
@@ -5,8 +5,8 @@
 from collections.abc import AsyncIterator
 from urllib.parse import unquote
 
+from ..calls.exchanges import Headers, Request
 from ..calls.heads import WireNames
-from ..calls.pool import Headers, Request
 
 # The names that a model's callers and backend servers use.
 NAMES = WireNames(
--- a/src/ibiswick/_internal/model/fleet.py
+++ b/src/ibiswick/_internal/model/fleet.py
@@ -11,10 +11,10 @@
 from typing import Any, NamedTuple
 
 from ..calls.callcounts import CallCounts
+from ..calls.exchanges import Limits, Remote, Request
 from ..calls.heads import find_retry_after, parse_milliseconds
 from ..calls.inbound import Inbound
 from ..calls.outbound import Outbound
-from ..calls.pool import Limits, Remote, Request
 from ..direct.node import NullWatcher
 from ..direct.policies import build_admission_policy, build_call_policy
 from ..direct.settings import DirectSettings
--- a/tests/test_call_promises.py
+++ b/tests/test_call_promises.py
@@ -22,8 +22,8 @@
 from call_network import Client, VirtualLoop, request, run_virtual
 from ibiswick._internal.calls import outbound, retries
 from ibiswick._internal.calls.answers import build_not_run
+from ibiswick._internal.calls.connections import Connection
 from ibiswick._internal.calls.dataplane import BackendWatcher, DataPlane
-from ibiswick._internal.calls.pool import Connection
 from ibiswick._internal.calls.retries import DEADLINE_MARGIN_S, Outcome, RetryDecision
 from ibiswick._internal.calls.serving import KEEP_ALIVE_S, bind_socket
 from ibiswick._internal.shared.blackboard import Blackboard
--- a/tests/test_call_sockets.py
+++ b/tests/test_call_sockets.py
@@ -14,7 +14,8 @@
 from call_network import Client, request
 from certificates import Authority
 from ibiswick._internal.calls.dataplane import DataPlane
-from ibiswick._internal.calls.pool import Limits, Pool, PoolFetch, Remote, Request
+from ibiswick._internal.calls.exchanges import Limits, Remote, Request
+from ibiswick._internal.calls.pool import Pool, PoolFetch
 from ibiswick._internal.shared.blackboard import Blackboard
 from ibiswick._internal.shared.errors import ExchangeTimeoutError, NotSentError, ResponseLostError
 from ibiswick._internal.shared.records import Endpoint, Phase, Snapshot
--- a/tests/test_connects.py
+++ b/tests/test_connects.py
@@ -12,7 +12,8 @@
 from direct_network import DirectMesh
 from ibiswick._internal.calls.callcounts import CallCounts
 from ibiswick._internal.calls.connects import COMMON_CAUSE_VMS, ConnectWatch
-from ibiswick._internal.calls.pool import Limits, Pool, Remote, Request, read_whole
+from ibiswick._internal.calls.exchanges import Limits, Remote, Request, read_whole
+from ibiswick._internal.calls.pool import Pool
 from ibiswick._internal.shared.errors import NotSentError
 
 REQUEST = Request(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -17,7 +17,8 @@
 from builders import build_node_record
 from call_network import VirtualLoop, run_virtual
 from direct_network import ENDLESS, DirectMesh, build_request
-from ibiswick._internal.calls.pool import MAX_RESPONSE_HEAD_BYTES, ByteBudget
+from ibiswick._internal.calls.connections import MAX_RESPONSE_HEAD_BYTES
+from ibiswick._internal.calls.exchanges import ByteBudget
 from ibiswick._internal.direct.exchange import PATH, ExchangeMessage, encode_message
 from ibiswick._internal.direct.policies import BUFFER_BYTES, BUFFERS_BYTES
 from ibiswick._internal.shared.errors import NotSentError, SilentPathError
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -12,7 +12,7 @@
 
 from builders import build_load
 from ibiswick._internal.calls import balance
-from ibiswick._internal.calls.pool import CONNECT_TIMEOUT_S
+from ibiswick._internal.calls.exchanges import CONNECT_TIMEOUT_S
 from ibiswick._internal.calls.turns import BodyTurns
 from ibiswick._internal.commands import load_model
 from ibiswick._internal.model.bounds import find_bound
