Take the turn back from a body that does not arrive

A sender whose VM lost power in the middle of a body kept its turn until the deadline of its call, up to 5 s on the grown deployments, and all other bodies waited for that. A turn ends after twice the usual transfer and 0.3 s now; the body may still come. The test gets 504 before. Its network silences the connections from a VM that loses power too, not only those to it.

--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -63,6 +63,10 @@
 # A shorter time left than this says nothing about the backend server when connecting fails.
 MIN_CONNECT_S = 0.05
 DEFAULT_QUEUE_S = 0.05
+# A body that takes longer than this many times its usual transfer, and a few round trips over a
+# busy link, keeps the link from no others.
+TURN_FACTOR = 2.0
+TURN_SLACK_S = 0.3
 DEFAULT_CONNECTIONS = 100
 
 _log = EventLog(component="inbound")
@@ -325,17 +329,21 @@
         limit_s = self._upload_idle_s if claim.deadline is None else claim.deadline - now
         size_bytes = MAX_REPLAY_BYTES if head.length is None else head.length
         ticket = self._turns.enter(size_bytes, sender_bytes_per_s=head.link_bytes_per_s)
+        turn_end: asyncio.TimerHandle | None = None
         self._queue.receiving += 1
         try:
             async with asyncio.timeout(limit_s):
                 await self._wait_turn(ticket)
                 began = self._clock()
+                turn_end = self._limit_turn(ticket, size_bytes, head.link_bytes_per_s)
                 await body.read_start(limit=self._policy.buffer_bytes)
             self._queue.note_received(self._clock() - began)
         except TimeoutError:
             return Refused("body-late", self._turns.estimate_wait())
         finally:
             self._queue.receiving -= 1
+            if turn_end is not None:
+                turn_end.cancel()
             self._leave_turn(ticket)
         body.received = True
         return None
@@ -353,6 +361,14 @@
             waited_s = self._clock() - started
             self._counts.observe("ibiswick_body_turn_seconds", "link", "own", waited_s)
 
+    def _limit_turn(
+        self, ticket: int, size_bytes: int, sender_bytes_per_s: int
+    ) -> asyncio.TimerHandle:
+        """End a turn that takes too long, since its sender may be gone; the body may still come."""
+        usual_s = self._turns.estimate_transfer(size_bytes, sender_bytes_per_s=sender_bytes_per_s)
+        limit_s = TURN_FACTOR * usual_s + TURN_SLACK_S
+        return asyncio.get_running_loop().call_later(limit_s, self._leave_turn, ticket)
+
     def _leave_turn(self, ticket: int) -> None:
         for admitted in self._turns.leave(ticket):
             waiter = self._turn_waiters.get(admitted)
--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -174,6 +174,12 @@
         self.dark.add(port)
         self.silence(port)
 
+    def silence_vm(self, vm: str) -> None:
+        """Drop every further byte on the open connections from a VM."""
+        for pipe in self.pipes:
+            if pipe.context.get(VM, "") == vm and pipe.other is not None:
+                pipe.silent = pipe.other.silent = True
+
     def silence(self, port: int) -> None:
         """Drop every further byte on the open connections to a port; new ones work."""
         for pipe in self.pipes:
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -317,6 +317,7 @@
         """Take the power of a node's VM: no connection is reset, new ones hang."""
         for port in self._list_ports(index):
             self.loop.darken(port)
+        self.loop.silence_vm(self.nodes[index].settings.vm)
         self.beating[index] = False
         self.fetches[index].unreachable = True
         self.tasks[index].cancel()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,6 +12,7 @@
 from direct_network import DirectMesh, build_request
 from ibiswick._internal.calls.admission import Claim, SlotQueue
 from ibiswick._internal.calls.turns import BodyTurns
+from platform_documents import build_configuration
 
 logbook.NullHandler().push_application()
 
@@ -99,3 +100,30 @@
         return (await mesh.call(1, "/upload/1/ok", "stays", method="POST", body=BODY)).status
 
     assert run_virtual(main) == 200
+
+
+def test_a_sender_without_power_keeps_the_link_from_nobody() -> None:
+    """Guard against a turn that is held until the deadline of a call whose VM has lost power."""
+
+    async def main(loop: VirtualLoop) -> tuple[int, float]:
+        services = ["archive", "counter", "counter"]
+        mesh = DirectMesh(loop, services, links=dict.fromkeys(range(3), SLOW_BYTES_PER_S))
+        await mesh.start()
+        # With the target of the others, a call would not wait for a turn at all.
+        listeners = build_configuration()["listeners"]
+        for rule in listeners[0]["rules"]:
+            rule["target_latency"] = "2000ms"
+        mesh.write_configuration("0000000d", listeners=listeners)
+        await asyncio.sleep(1.0)
+        gone = asyncio.create_task(mesh.call(1, "/upload/1/ok", "gone", method="POST", body=BODY))
+        await asyncio.sleep(0.05)
+        await mesh.darken(1)
+        started = loop.now
+        client = await mesh.call(2, "/upload/1/ok", "stays", method="POST", body=BODY)
+        gone.cancel()
+        return client.status, loop.now - started
+
+    status, elapsed_s = run_virtual(main)
+    assert status == 200
+    # The rest of a turn and its slack, then a body of its own.
+    assert elapsed_s < 0.9
