Show that a close behind many pipelined requests is noticed late

Cause: with more than 16 requests on a connection, reading pauses, and the end of the connection is not reported. Change: a case only, as a script; nothing is fixed.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" && exec python3 case.py
