--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,7 @@
-"""Kill the nodes while the store is down and a node has acknowledged that its backend leaves."""
+"""Kill every node right after a configuration was acknowledged, and start them again.
+
+Reads with `serializable` return data that is some seconds old, as the protocol page allows.
+"""
 
 from __future__ import annotations
 
@@ -9,60 +12,52 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 import mesh as m  # noqa: E402
 
-DRAIN_S = 2.0
+CONFIG_APPLY_S = 2.0
 STABLE_WINDOW_S = 3.0
-# Times in seconds after the beginning of the store's outage.
-DEREGISTER_AT_S = 0.5
-KILL_AT_S = 1.0
-RESTART_AT_S = 1.3
-OUTAGE_S = 2.0
-# The last heartbeat leaves the backend just before it deregisters, and arrives late.
-BEAT_ARRIVES_AT_S = 3.0
-SEND_FROM_S = 5.3
-WORKERS = 8
-REQUESTS_PER_WORKER = 8
-
-
-async def _send_requests(mesh: m.Mesh, node: m.Node, worker: int) -> None:
-    for number in range(REQUESTS_PER_WORKER):
-        attempt = f"w{worker}q{number}"
-        mesh.record.note("client-sends", id=attempt, node=node.name)
-        response = await m.call(
-            node.outbound,
-            "GET",
-            f"/status/{attempt}?ms=100",
-            host="shop.example",
-            headers={"Ibiswick-Attempt-Id": attempt, "Ibiswick-Deadline-Ms": "800"},
-        )
-        status = response.status if response else "-"
-        mesh.record.note("client-answer", id=attempt, status=status)
-        await asyncio.sleep(0.2)
+STALE_S = 4.0
+# After the acknowledgement, in seconds.
+KILL_AT_S = 0.05
+RESTART_AT_S = 0.3
+SEND_FROM_S = 2.5
+SEND_UNTIL_S = 7.0
+SEND_INTERVAL_S = 0.025
+
+
+class Sent:
+    def __init__(self, at: float, node: m.Node, attempt: str) -> None:
+        self.at = at
+        self.node = node
+        self.attempt = attempt
+
+
+async def _send(mesh: m.Mesh, node: m.Node, attempt: str) -> None:
+    response = await m.call(
+        node.outbound,
+        "GET",
+        f"/move/{attempt}?ms=20",
+        host="shop.example",
+        headers={"Ibiswick-Attempt-Id": attempt, "Ibiswick-Deadline-Ms": "800"},
+    )
+    mesh.record.note("client-answer", id=attempt, status=response.status if response else "-")
 
 
 async def play(mesh: m.Mesh) -> tuple[bool, str]:
     record = mesh.record
-    rules = [m.build_rule("status", "/status/", "desk")]
-    await mesh.start_store(m.build_configuration(1, rules, ["desk"]))
-    leaver = await mesh.add_machine("desk", "a")
-    other = await mesh.add_machine("desk", "a")
-    backend = mesh.backends[0]
-    await mesh.wait_ready()
-    await asyncio.sleep(4.0)
+    services = ["desk", "archive"]
+    before = m.build_configuration(1, [m.build_rule("move", "/move/", "desk")], services)
+    after = m.build_configuration(2, [m.build_rule("move", "/move/", "archive")], services)
+    await mesh.start_store(before)
+    mesh.store.stale_s = STALE_S
+    for service in ("desk", "desk", "archive", "archive"):
+        await mesh.add_machine(service)
+    await mesh.wait_ready(20.0)
+    await asyncio.sleep(STALE_S + 4.0)
 
-    began_at = record.now
+    acknowledged_at = mesh.write_configuration(after)
 
     async def wait_until(at_s: float) -> None:
-        await asyncio.sleep(max(0.0, began_at + at_s - record.now))
+        await asyncio.sleep(max(0.0, acknowledged_at + at_s - record.now))
 
-    if m.has_trouble():
-        mesh.store.set_down(True)
-    await wait_until(DEREGISTER_AT_S)
-    backend.stop_beats()
-    late_beat = backend.build_beat()
-    record.note("heartbeat-sent", instance=backend.name, state="ready", sequence=backend.sequence)
-    if await backend.deregister() != 200:
-        raise m.CannotRunError("the node did not acknowledge the deregistration")
-    acknowledged_at = record.now
     if m.has_trouble():
         await wait_until(KILL_AT_S)
         for node in mesh.nodes:
@@ -70,24 +65,31 @@
         await wait_until(RESTART_AT_S)
         for node in mesh.nodes:
             node.start()
-        await wait_until(OUTAGE_S)
-        up_at = mesh.store.set_down(False)
-        in_touch_from = max(up_at, *(node.started_at for node in mesh.nodes)) + STABLE_WINDOW_S
-    else:
-        in_touch_from = acknowledged_at
-    await wait_until(BEAT_ARRIVES_AT_S)
-    await backend.send_beat(late_beat)
-
     await wait_until(SEND_FROM_S)
-    await asyncio.gather(*(_send_requests(mesh, other, worker) for worker in range(WORKERS)))
+    sent: list[Sent] = []
+    sending = []
+    while record.now < acknowledged_at + SEND_UNTIL_S:
+        for node in mesh.nodes:
+            attempt = f"q{len(sent)}"
+            sent.append(Sent(record.note("client-sends", id=attempt, node=node.name), node, attempt))
+            sending.append(asyncio.create_task(_send(mesh, node, attempt)))
+        await asyncio.sleep(SEND_INTERVAL_S)
+    await asyncio.gather(*sending)
+    by_old = {
+        attempt for backend in mesh.backends if backend.service == "desk"
+        for _, attempt in backend.runs
+    }
     late = [
-        f"{attempt}@{at - acknowledged_at:.1f}s"
-        for at, attempt in backend.runs
-        if at > acknowledged_at + DRAIN_S and at > in_touch_from
+        f"{item.attempt}@{item.at - acknowledged_at:.2f}s"
+        for item in sent
+        if item.attempt in by_old
+        and item.at > acknowledged_at + CONFIG_APPLY_S
+        and item.at > item.node.started_at + STABLE_WINDOW_S
     ]
     return bool(late), (
-        f"{len(late)} requests reached {backend.name} later than {DRAIN_S} s after the "
-        f"acknowledgement that it leaves, by machines in touch: {' '.join(late[:5]) or '-'}"
+        f"{len(late)} requests, sent over {CONFIG_APPLY_S} s after the acknowledgement to machines "
+        f"in touch, were run by the old service: {' '.join(late[:3]) or '-'} .. "
+        f"{late[-1] if late else '-'}"
     )
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Let a client close a connection on which many idempotent requests wait for their answers."""
+"""Kill the nodes while the store is down and a node has acknowledged that its backend leaves."""
 
 from __future__ import annotations
 
@@ -9,99 +9,85 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 import mesh as m  # noqa: E402
 
-# One client in five leaves, as the `give_up` of the sites says. The others keep the slots busy.
-STAYING = 4
-REQUESTS_AT_ONCE = 3
-ROUNDS = 4
-# Requests that the leaving client sends before the first one has been answered.
-REQUESTS = 20
-WORK_MS = 1000
-DEADLINE_MS = 8000
-SEND_AT_S = 0.1
-LEAVE_AFTER_S = 0.2
-GONE_AFTER_S = 0.5
-# More requests than this are "more than a few".
-FEW = 5
+DRAIN_S = 2.0
+STABLE_WINDOW_S = 3.0
+# Times in seconds after the beginning of the store's outage.
+DEREGISTER_AT_S = 0.5
+KILL_AT_S = 1.0
+RESTART_AT_S = 1.3
+OUTAGE_S = 2.0
+# The last heartbeat leaves the backend just before it deregisters, and arrives late.
+BEAT_ARRIVES_AT_S = 3.0
+SEND_FROM_S = 5.3
+WORKERS = 8
+REQUESTS_PER_WORKER = 8
 
 
-async def stay(mesh: m.Mesh, node: m.Node, worker: int) -> None:
-    """Send one request after the other, each on a connection of its own."""
-    for number in range(ROUNDS):
-        attempt = f"w{worker}r{number}"
-        mesh.record.note("client-sends", id=attempt)
-        answer = await m.call(
+async def _send_requests(mesh: m.Mesh, node: m.Node, worker: int) -> None:
+    for number in range(REQUESTS_PER_WORKER):
+        attempt = f"w{worker}q{number}"
+        mesh.record.note("client-sends", id=attempt, node=node.name)
+        response = await m.call(
             node.outbound,
             "GET",
-            f"/status/{attempt}?ms={WORK_MS}",
+            f"/status/{attempt}?ms=100",
             host="shop.example",
-            headers={"Ibiswick-Attempt-Id": attempt, "Ibiswick-Deadline-Ms": str(DEADLINE_MS)},
-            timeout_s=DEADLINE_MS / 1000,
-        )
-        mesh.record.note("client-answer", id=attempt, status=answer.status if answer else "-")
-
-
-class Client:
-    def __init__(self, mesh: m.Mesh, node: m.Node, number: int, *, leaves: bool) -> None:
-        self._mesh = mesh
-        self._node = node
-        self._number = number
-        self.leaves = leaves
-        self.sent: list[str] = []
-        self.answered = 0
-        self.left_at: float | None = None
-
-    async def run(self) -> None:
-        reader, writer = await asyncio.open_connection(*self._node.outbound)
-        for index in range(REQUESTS):
-            attempt = f"c{self._number}r{index}"
-            self.sent.append(attempt)
-            self._mesh.record.note("client-sends", id=attempt)
-            writer.write(
-                m.write_request(
-                    "GET",
-                    f"/status/{attempt}?ms={WORK_MS}",
-                    "shop.example",
-                    {"Ibiswick-Attempt-Id": attempt, "Ibiswick-Deadline-Ms": str(DEADLINE_MS)},
-                )
-            )
-        try:
-            async with asyncio.timeout(LEAVE_AFTER_S if self.leaves else DEADLINE_MS / 1000):
-                while self.answered < REQUESTS:
-                    answer = await m.read_message(reader)
-                    if answer is None:
-                        break
-                    self.answered += 1
-        except (TimeoutError, ConnectionError, OSError):
-            pass
-        writer.close()
-        self.left_at = self._mesh.record.note(
-            "client-closes", client=self._number, answered=self.answered, leaves=self.leaves
+            headers={"Ibiswick-Attempt-Id": attempt, "Ibiswick-Deadline-Ms": "800"},
         )
+        status = response.status if response else "-"
+        mesh.record.note("client-answer", id=attempt, status=status)
+        await asyncio.sleep(0.2)
 
 
 async def play(mesh: m.Mesh) -> tuple[bool, str]:
-    rules = [m.build_rule("status", "/status/", "desk", timeout_ms=DEADLINE_MS)]
+    record = mesh.record
+    rules = [m.build_rule("status", "/status/", "desk")]
     await mesh.start_store(m.build_configuration(1, rules, ["desk"]))
-    node = await mesh.add_machine("desk")
-    await mesh.add_machine("desk")
+    leaver = await mesh.add_machine("desk", "a")
+    other = await mesh.add_machine("desk", "a")
+    backend = mesh.backends[0]
     await mesh.wait_ready()
     await asyncio.sleep(4.0)
-    staying = [
-        asyncio.create_task(stay(mesh, mesh.nodes[worker % 2], worker))
-        for worker in range(STAYING * REQUESTS_AT_ONCE)
-    ]
-    await asyncio.sleep(SEND_AT_S)
-    client = Client(mesh, node, 0, leaves=m.has_trouble())
-    await asyncio.gather(client.run(), *staying)
-    runs = {attempt: at for backend in mesh.backends for at, attempt in backend.runs}
+
+    began_at = record.now
+
+    async def wait_until(at_s: float) -> None:
+        await asyncio.sleep(max(0.0, began_at + at_s - record.now))
+
+    if m.has_trouble():
+        mesh.store.set_down(True)
+    await wait_until(DEREGISTER_AT_S)
+    backend.stop_beats()
+    late_beat = backend.build_beat()
+    record.note("heartbeat-sent", instance=backend.name, state="ready", sequence=backend.sequence)
+    if await backend.deregister() != 200:
+        raise m.CannotRunError("the node did not acknowledge the deregistration")
+    acknowledged_at = record.now
+    if m.has_trouble():
+        await wait_until(KILL_AT_S)
+        for node in mesh.nodes:
+            node.kill()
+        await wait_until(RESTART_AT_S)
+        for node in mesh.nodes:
+            node.start()
+        await wait_until(OUTAGE_S)
+        up_at = mesh.store.set_down(False)
+        in_touch_from = max(up_at, *(node.started_at for node in mesh.nodes)) + STABLE_WINDOW_S
+    else:
+        in_touch_from = acknowledged_at
+    await wait_until(BEAT_ARRIVES_AT_S)
+    await backend.send_beat(late_beat)
+
+    await wait_until(SEND_FROM_S)
+    await asyncio.gather(*(_send_requests(mesh, other, worker) for worker in range(WORKERS)))
     late = [
-        f"{attempt}@{runs[attempt] - client.left_at:.1f}s"
-        for attempt in client.sent
-        if attempt in runs and runs[attempt] > client.left_at + GONE_AFTER_S
+        f"{attempt}@{at - acknowledged_at:.1f}s"
+        for at, attempt in backend.runs
+        if at > acknowledged_at + DRAIN_S and at > in_touch_from
     ]
-    return len(late) > FEW, (
-        f"{len(late)} requests reached a backend over {GONE_AFTER_S} s after their client had "
-        f"closed its connection: {' '.join(late[:5]) or '-'}"
+    return bool(late), (
+        f"{len(late)} requests reached {backend.name} later than {DRAIN_S} s after the "
+        f"acknowledgement that it leaves, by machines in touch: {' '.join(late[:5]) or '-'}"
     )
 
 
--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -168,6 +168,9 @@
         self.stale_s = stale_s
         # Answer every call with 503, which means that nothing was done.
         self.is_down = False
+        # The share of the answers that are lost; such a connection returns nothing further.
+        self.lost_share = 0.0
+        self._random = random.Random()
         self._revision = 100
         # Changes in the order of their revisions: (time, revision, kind, name, object or None).
         self._changes: list[tuple[float, int, str, str, dict | None]] = []
@@ -231,6 +234,10 @@
             while (request := await read_message(reader)) is not None:
                 method, target, _ = request.first_line.split(" ")
                 status, content = await self._answer(method, target, request.body)
+                if self._random.random() < self.lost_share:
+                    self._record.note("store-answer-lost", method=method, target=target)
+                    await reader.read()
+                    break
                 writer.write(write_response(status, json.dumps(content).encode()))
                 await writer.drain()
         except (ConnectionError, OSError, asyncio.CancelledError):
