--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
-import mesh as m  # noqa: E402
+import mesh as m
 
 CONNECTIONS = 8
 DEADLINE_MS = 4000
@@ -57,7 +57,9 @@
                     answer = await m.read_message(reader)
                     if answer is None:
                         break
-                    attempt = answer.headers.get("ibiswick-attempt-id", self.sent[len(self.answered)])
+                    attempt = answer.headers.get(
+                        "ibiswick-attempt-id", self.sent[len(self.answered)]
+                    )
                     self.answered.append(attempt)
                     self._mesh.record.note(
                         "client-answer",
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
-import mesh as m  # noqa: E402
+import mesh as m
 
 CONFIG_APPLY_S = 2.0
 STABLE_WINDOW_S = 3.0
@@ -71,12 +71,16 @@
     while record.now < acknowledged_at + SEND_UNTIL_S:
         for node in mesh.nodes:
             attempt = f"q{len(sent)}"
-            sent.append(Sent(record.note("client-sends", id=attempt, node=node.name), node, attempt))
+            sent.append(
+                Sent(record.note("client-sends", id=attempt, node=node.name), node, attempt)
+            )
             sending.append(asyncio.create_task(_send(mesh, node, attempt)))
         await asyncio.sleep(SEND_INTERVAL_S)
     await asyncio.gather(*sending)
     by_old = {
-        attempt for backend in mesh.backends if backend.service == "desk"
+        attempt
+        for backend in mesh.backends
+        if backend.service == "desk"
         for _, attempt in backend.runs
     }
     late = [
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
-import mesh as m  # noqa: E402
+import mesh as m
 
 DRAIN_S = 2.0
 STABLE_WINDOW_S = 3.0
@@ -43,7 +43,7 @@
     record = mesh.record
     rules = [m.build_rule("status", "/status/", "desk")]
     await mesh.start_store(m.build_configuration(1, rules, ["desk"]))
-    leaver = await mesh.add_machine("desk", "a")
+    await mesh.add_machine("desk", "a")
     other = await mesh.add_machine("desk", "a")
     backend = mesh.backends[0]
     await mesh.wait_ready()
