Announce the close of a connection on its last response

Cause: which response is the last one of a connection was decided when its head was built. Requests that arrived before the head was sent were started, and cancelled when it was sent. Change: the end of a head is written when it is sent, the close is announced on the response behind which nothing has arrived, and nothing is started after that. The same holds for a close that a handler asks for, for the end of a drain, and for a body that arrives without "100 Continue".

--- a/src/ibiswick/_internal/calls/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -102,6 +102,7 @@
         "_connection",
         "_expects_continue",
         "_held_bytes",
+        "_held_head_end",
         "_held_parts",
         "_pending_head",
         "_turn_waiter",
@@ -150,6 +151,8 @@
         self.task: asyncio.Task[None] | None = None
         self._held_parts: list[bytes] = []
         self._held_bytes = 0
+        # Index in `_held_parts` at which the last line of a held head belongs.
+        self._held_head_end: int | None = None
         self._turn_waiter: asyncio.Future[None] | None = None
         self._connection = connection
         self._expects_continue = expects_continue
@@ -196,13 +199,18 @@
                 raise AbortResponseError("the caller disconnected")
             if self.body_arrived:
                 return b""
-            if self._expects_continue:
+            if self._expects_continue and not self.started:
                 self._expects_continue = False
                 self._send(_CONTINUE)
             self._waiter = self._connection.loop.create_future()
             await self._waiter
         return self.read_available()
 
+    @property
+    def may_lack_body(self) -> bool:
+        """Tell whether the caller may omit the body, so that the next bytes could be misread."""
+        return self._expects_continue and not self.body_arrived
+
     # Response
 
     def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
@@ -210,7 +218,7 @@
         if self.disconnected:
             return
         head = self._build_head(status, headers, len(body))
-        self._send(head + self._frame(body, more=False))
+        self._send(self._frame(body, more=False), head=head)
         self._finish_response()
 
     def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -221,7 +229,8 @@
         """Send a part of the body, and wait while the caller reads slowly."""
         if self.disconnected:
             return
-        self._send(self._pop_pending_head() + self._frame(part, more=True))
+        head = self._pop_pending_head()
+        self._send(self._frame(part, more=True), head=head)
         if not self.has_turn and self._held_bytes > HELD_HIGH_WATER_BYTES:
             await self.wait_turn()
         await self._connection.drain()
@@ -230,9 +239,8 @@
         """End the body; raise AbortResponseError if its length does not match."""
         if self.disconnected:
             return
-        data = self._pop_pending_head() + self._frame(b"", more=False)
-        if data:
-            self._send(data)
+        head = self._pop_pending_head()
+        self._send(self._frame(b"", more=False), head=head)
         self._finish_response()
 
     # Order of responses
@@ -253,6 +261,9 @@
     def give_turn(self) -> bytes:
         """Allow this response to be sent, and return the bytes of it that were held back."""
         self.has_turn = True
+        if self._held_head_end is not None:
+            self._held_parts.insert(self._held_head_end, self._end_head())
+            self._held_head_end = None
         held = b"".join(self._held_parts)
         self._held_parts.clear()
         self._held_bytes = 0
@@ -265,28 +276,38 @@
         if turn is not None and not turn.done():
             turn.set_result(None)
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes, *, head: bytes = b"") -> None:
+        """Send data, behind a head if it is the first of the response, or hold it back."""
         if self.has_turn:
-            self._connection.write(data)
-        else:
-            self._held_parts.append(data)
-            self._held_bytes += len(data)
+            if head:
+                head += self._end_head()
+            if head or data:
+                self._connection.write(head + data)
+            return
+        if head:
+            self._held_parts.append(head)
+            self._held_head_end = len(self._held_parts)
+        self._held_parts.append(data)
+        self._held_bytes += len(head) + len(data)
 
     def _pop_pending_head(self) -> bytes:
         head, self._pending_head = self._pending_head, None
         return self._build_head(*head, None) if head is not None else b""
 
+    def _end_head(self) -> bytes:
+        """Return the end of the head, which tells whether the connection closes.
+
+        Call this only when the head is sent: until then, further requests may arrive and start,
+        and they are owed a response as well.
+        """
+        self.keep_alive = not self._connection.settle_close(self)
+        return b"\r\n" if self.keep_alive else b"connection: close\r\n\r\n"
+
     def _build_head(
         self, status: int, headers: list[tuple[bytes, bytes]], length: int | None
     ) -> bytes:
-        """Build the head; `length` is None if the body is sent in parts."""
-        if self._expects_continue:
-            # The caller may now omit the body, and the next bytes could be misread as the body.
-            self._expects_continue = False
-            self.keep_alive = False
+        """Build the head up to its last line; `length` is None if the body is sent in parts."""
         self.started = True
-        if self._connection.must_close_after(self):
-            self.keep_alive = False
         parts = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
         has_length = False
         for name, value in headers:
@@ -304,7 +325,6 @@
             else:
                 self._unsent_bytes = length
                 parts.append(b"content-length: %d\r\n" % length)
-        parts.append(b"\r\n" if self.keep_alive else b"connection: close\r\n\r\n")
         return b"".join(parts)
 
     def _frame(self, body: bytes, *, more: bool) -> bytes:
@@ -335,6 +355,8 @@
 
     __slots__ = (
         "_active",
+        "_close_announced",
+        "_closes_when_served",
         "_expects_continue",
         "_got_last_request",
         "_head_bytes",
@@ -367,8 +389,12 @@
         self._waiting: deque[ServerRequest] = deque()
         self._writable_waiter: asyncio.Future[None] | None = None
         self._reading_paused = False
-        # The caller has announced its last request; bytes after it are ignored.
+        # A response that has begun announces the close, so no further request is started.
+        self._close_announced = False
+        # Bytes are ignored after the last request, which the caller or this side has announced.
         self._got_last_request = False
+        # The connection closes when every request that has arrived has its response.
+        self._closes_when_served = False
         self._in_head = False
         self._head_bytes = 0
         self._target = b""
@@ -469,6 +495,8 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
+        if self._got_last_request:
+            return
         parser = self._parser
         if parser.should_upgrade():
             raise _UpgradeError
@@ -517,7 +545,7 @@
         if request is not None:
             request.body_arrived = True
             request.wake()
-            self._got_last_request = not self._parser.should_keep_alive()
+            self._got_last_request = self._close_announced or not self._parser.should_keep_alive()
 
     # Requests
 
@@ -542,11 +570,29 @@
         else:
             request.aborted = True
 
-    def must_close_after(self, request: ServerRequest) -> bool:
-        """Tell whether this response is the connection's last because the listener is stopping."""
-        if not self._listener.stopping or self._waiting:
+    def settle_close(self, request: ServerRequest) -> bool:
+        """Decide whether the connection closes after a response whose head is being sent.
+
+        The close is announced on the response to the last request that has arrived, and nothing
+        that arrives after this announcement is started.
+        """
+        if not request.keep_alive:
+            self._closes_when_served = True
+        is_last = not self._waiting and self._active[-1] is request
+        closes = is_last and (self._closes_when_served or self._is_draining_after(request))
+        if not closes and not request.may_lack_body:
             return False
-        return bool(self._active) and self._active[-1] is request
+        self._close_announced = True
+        # The rest of a body that is still arriving is for the handler.
+        self._got_last_request = self._receiving is None
+        return True
+
+    def _is_draining_after(self, request: ServerRequest) -> bool:
+        """Tell whether to close after a request because the listener is stopping.
+
+        A connection that is closed with unread bytes is reset, and the response could be lost.
+        """
+        return self._listener.stopping and request.body_arrived
 
     def end_response(self, request: ServerRequest) -> None:
         """Send the responses whose turn has come, then start or await further requests."""
@@ -574,6 +620,9 @@
             return
         while self._waiting and self._can_start():
             self._start_request(self._waiting.popleft())
+        if self._closes_when_served and not self._active and not self._waiting:
+            self._close()
+            return
         if not self._active and not self._waiting and self._idle_deadline is None:
             self._restart_idle_timer()
         if self._reading_paused:
@@ -624,10 +673,10 @@
 
     def stop(self) -> None:
         """Close the connection now if it is idle, otherwise after the last request being served."""
+        self._closes_when_served = True
+        self._waiting.clear()
         if not self._active:
             self._close()
-        elif not self._active[-1].started:
-            self._active[-1].keep_alive = False
 
     def abort(self) -> None:
         """Cancel the requests in flight and close the connection at once."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -542,6 +542,113 @@
     run(main)
 
 
+@pytest.mark.parametrize("way", ["drain", "stop", "handler"])
+async def test_the_close_is_announced_on_the_last_response(way: str) -> None:
+    """Guard against a close that drops a request which arrived behind a held response."""
+    gates = {b"/%d" % number: asyncio.Event() for number in range(1, 4)}
+
+    async def serve(request: ServerRequest) -> None:
+        await gates[request.target].wait()
+        closing = [(b"connection", b"close")] if way == "handler" else []
+        request.respond(200, closing, request.target)
+
+    server = Server(serve)
+    server.listener.pipeline_limit = 16
+    wire = server.connect()
+    wire.feed(build_get(b"/1"))
+    await settle()
+    if way == "drain":
+        server.listener.stopping = True
+    elif way == "stop":
+        wire.protocol.stop()
+    wire.feed(build_get(b"/2"))
+    await settle()
+    gates[b"/2"].set()
+    await settle()
+    wire.feed(build_get(b"/3"))
+    await settle()
+    gates[b"/1"].set()
+    await settle()
+    gates[b"/3"].set()
+    await settle()
+    assert read_responses(wire) == [(200, b"/%d" % number) for number in range(1, 4)]
+    assert wire.written.count(b"connection: close") == 1
+    assert wire.written.rindex(b"HTTP/1.1") < wire.written.index(b"connection: close")
+    assert wire.closed
+    assert not wire.aborted
+
+
+async def test_nothing_is_started_behind_an_announced_close() -> None:
+    """Guard against a call that is passed on although its connection is about to close."""
+    finished = asyncio.Event()
+
+    async def serve(request: ServerRequest) -> None:
+        request.start(200, [])
+        await request.write(b"part")
+        await finished.wait()
+        request.finish()
+
+    server = Server(serve)
+    server.listener.pipeline_limit = 16
+    server.listener.stopping = True
+    wire = server.connect()
+    wire.feed(build_get(b"/1"))
+    await settle()
+    assert b"connection: close" in wire.written
+    wire.feed(build_get(b"/2"), build_get(b"/3"))
+    await settle()
+    finished.set()
+    await settle()
+    assert server.started == [b"/1"]
+    assert read_responses(wire) == [(200, b"part")]
+    assert wire.closed
+
+
+async def test_a_body_goes_on_after_the_close_is_announced() -> None:
+    """Guard against a stop that cuts off an upload whose response has begun."""
+
+    async def serve(request: ServerRequest) -> None:
+        request.start(200, [(b"connection", b"close")])
+        await request.write(b"read ")
+        while part := await request.read():
+            await request.write(part)
+        request.finish()
+
+    server = Server(serve)
+    wire = server.connect()
+    raw = build_post(b"/1", b"body")
+    wire.feed(raw[:-3])
+    await settle()
+    wire.feed(raw[-3:] + build_get(b"/2"))
+    await settle()
+    assert server.started == [b"/1"]
+    assert read_responses(wire) == [(200, b"read body")]
+    assert wire.closed
+
+
+async def test_a_body_that_came_without_continue_does_not_close_the_connection() -> None:
+    """Guard against an early response that drops the request behind a body that has arrived."""
+    first = asyncio.Event()
+
+    async def serve(request: ServerRequest) -> None:
+        if request.target == b"/1":
+            await first.wait()
+        request.respond(200, [], request.target)
+
+    server = Server(serve)
+    server.listener.pipeline_limit = 16
+    wire = server.connect()
+    expecting = build_post(b"/2", b"body").replace(b"host", b"expect: 100-continue\r\nhost")
+    wire.feed(build_get(b"/1") + expecting[:-4])
+    await settle()
+    wire.feed(expecting[-4:] + build_get(b"/3"))
+    await settle()
+    first.set()
+    await settle()
+    assert read_responses(wire) == [(200, b"/%d" % number) for number in range(1, 4)]
+    assert not wire.closed
+
+
 def test_a_stop_ends_a_call_that_takes_too_long() -> None:
     """Guard against a node that does not stop because a call does not end."""
 
