Acknowledge a departure when it is held outside the process

Cause: the acknowledgement was given while only the memory of one process held the departure, and the next process took a late heartbeat for the proof that the backend server runs. Change: the acknowledgement waits for the entry in the object API or, for at most 0.4 s more, for one of two other nodes; with neither the response is 503. A process whose first read of the object API failed offers its backend server after a second heartbeat that did not arrive together with the first. A departure of the earlier start is announced also if no heartbeat came before it, and a heartbeat of a start before the earlier one is late.

--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -71,6 +71,8 @@
         self.answered_at = clock()
         self.holds_at = NEVER
         self.has_listed = False
+        # Whether a read failed before the first listing.
+        self.failed_before_listing = False
         # Duration of the first read that returned an object; None before it.
         self.first_read_s: float | None = None
         self._platform = platform
@@ -297,6 +299,7 @@
         return delay_s
 
     def _note_unreachable(self, error: PlatformError) -> None:
+        self.failed_before_listing = self.failed_before_listing or not self.has_listed
         if self.is_reachable:
             _log.warn("platform-lost", prefix=self._prefix, code=error.code, detail=error)
             self._unreachable_since = self._clock()
--- a/src/ibiswick/_internal/direct/instances.py
+++ b/src/ibiswick/_internal/direct/instances.py
@@ -9,6 +9,9 @@
 
 # Incarnations that are remembered as departed; one VM has far fewer during the life of a process.
 MAX_REMEMBERED_DEPARTURES = 64
+# Heartbeats that were delayed together arrive together; a running backend server sends one about
+# every 1.5 s.
+MIN_HEARTBEAT_GAP_S = 0.5
 
 
 class Heartbeat(NamedTuple):
@@ -67,13 +70,22 @@
     def note_earlier_instance(self, earlier: LocalInstance) -> None:
         """Note what an earlier process of this node has announced."""
         self._earlier = earlier
+        if self.current is not None and self.current.born < earlier.born:
+            # A late heartbeat of a start before the one that the earlier process has announced.
+            self.current = None
+            self._sequence = -1
         departed = self._departed_before_ms.pop(earlier.instance, None) is not None
-        if not earlier.leaving and not departed:
-            return
+        if earlier.leaving or departed or _get_key(earlier) in self._departed:
+            self._note_earlier_departed(earlier)
+
+    def _note_earlier_departed(self, earlier: LocalInstance) -> None:
+        """Note that the start which an earlier process has announced has departed.
+
+        Without a newer start it stays the current one, and this process announces it as leaving.
+        """
         self._remember_departed(_get_key(earlier))
-        current = self.current
-        if current is not None and _get_key(current) == _get_key(earlier):
-            self.current = current._replace(leaving=True)
+        if self.current is None or _get_key(self.current) == _get_key(earlier):
+            self.current = (self.current or earlier)._replace(leaving=True)
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
         """Apply a heartbeat if it is the newest."""
@@ -88,6 +100,8 @@
             return Verdict.LATE
         if is_same and heartbeat.sequence <= self._sequence:
             return Verdict.LATE
+        if self._earlier is not None and heartbeat.born < self._earlier.born:
+            return Verdict.LATE
         leaving = heartbeat.leaving or (is_same and current is not None and current.leaving)
         self._sequence = heartbeat.sequence
         self.current = LocalInstance(
@@ -103,8 +117,15 @@
         if departure.born is not None:
             self._remember_departed((departure.instance, departure.born))
         if current is None or current.instance != departure.instance:
-            if departure.born is None:
-                self._note_departure_without_born(departure.instance, now_ms)
+            earlier = self._earlier
+            if earlier is not None and departure in (
+                (earlier.instance, earlier.born),
+                (earlier.instance, None),
+            ):
+                self._note_earlier_departed(earlier)
+            elif departure.born is None:
+                self._departed_before_ms[departure.instance] = now_ms
+                _drop_oldest(self._departed_before_ms)
             return Verdict.DEPARTED
         if departure.born is not None and departure.born != current.born:
             return Verdict.LATE
@@ -114,24 +135,41 @@
         self.current = current._replace(leaving=True)
         return Verdict.CHANGED
 
-    def _note_departure_without_born(self, instance: str, now_ms: int) -> None:
-        """Note a departure without `born`.
-
-        The start in the record of an earlier process has departed, or without such a record every
-        start until now.
-        """
-        earlier = self._earlier
-        if earlier is not None and earlier.instance == instance:
-            self._remember_departed(_get_key(earlier))
-            return
-        self._departed_before_ms[instance] = now_ms
-        _drop_oldest(self._departed_before_ms)
-
     def _remember_departed(self, key: tuple[str, int]) -> None:
         self._departed[key] = None
         _drop_oldest(self._departed)
 
 
+class LivenessCheck:
+    """Decide from two heartbeats whether a backend server is running.
+
+    A single heartbeat proves nothing: it may be a late one from before the backend server left. It
+    takes a second one with a higher sequence that did not arrive together with the first.
+    """
+
+    def __init__(self) -> None:
+        self._key: tuple[str, int] | None = None
+        self._first_sequence = 0
+        self._first_at = 0.0
+        self._is_running = False
+
+    def note_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> None:
+        """Note a heartbeat that arrived at `now`, in seconds."""
+        key = (heartbeat.instance, heartbeat.born)
+        if key != self._key:
+            self._key = key
+            self._first_sequence = heartbeat.sequence
+            self._first_at = now
+            self._is_running = False
+        elif heartbeat.sequence > self._first_sequence:
+            is_apart = now - self._first_at >= MIN_HEARTBEAT_GAP_S
+            self._is_running = self._is_running or is_apart
+
+    def is_running(self, instance: LocalInstance) -> bool:
+        """Tell whether this start of a backend server is known to run."""
+        return self._is_running and _get_key(instance) == self._key
+
+
 def _get_key(instance: LocalInstance) -> tuple[str, int]:
     return (instance.instance, instance.born)
 
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable
@@ -20,10 +21,10 @@
 from ..shared.logs import EventLog
 from ..shared.metrics import define_gauge, render_metrics
 from ..shared.objectapi import Platform
-from ..shared.records import BackendHealth, Phase
+from ..shared.records import BackendHealth, LocalInstance, Phase
 from .configuration import ConfigurationDecoder
 from .counted import CountedPlatform
-from .instances import Departure, Heartbeat, InstanceTable, Verdict
+from .instances import Departure, Heartbeat, InstanceTable, LivenessCheck, Verdict
 from .plane import DirectPlane
 from .policies import build_admission_policy, build_buffer_budget, build_call_policy
 from .settings import DirectSettings
@@ -49,6 +50,8 @@
 STOP_MARGIN_SHARE = 1 / 6
 CLOSE_TIMEOUT_S = 0.4
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+# The response to an announcement counts if it arrives within 1 s.
+MAX_LOOKUP_WAIT_S = 0.15
 
 _log = EventLog(component="node")
 
@@ -100,6 +103,7 @@
         self._wall_clock = wall_clock
         self._decode_announcement = decode_announcement
         self._instances = InstanceTable()
+        self._liveness = LivenessCheck()
         self.counts = CallCounts()
         buffers = build_buffer_budget()
         self._peer_pool = ConnectionPool(
@@ -202,6 +206,7 @@
         self._tasks = [
             asyncio.create_task(supervise("limits", self._follow_configuration)),
             asyncio.create_task(supervise("earlier", self._follow_earlier_instance)),
+            asyncio.create_task(supervise("departures", self._publish_when_departures_known)),
         ]
         _log.info("node-started", vm=self.settings.vm, service=self.settings.service)
         await self._drain()
@@ -330,10 +335,12 @@
             body += part
             if len(body) > MAX_ANNOUNCEMENT_BYTES:
                 break
-        response = self._respond_to_announcement(request.method, request.path, bytes(body))
+        response = await self._respond_to_announcement(request.method, request.path, bytes(body))
         request.respond(response.status, [(b"content-type", b"application/json")], response.body)
 
-    def _respond_to_announcement(self, method: str, path: str, body: bytes) -> RegistryResponse:
+    async def _respond_to_announcement(
+        self, method: str, path: str, body: bytes
+    ) -> RegistryResponse:
         try:
             announcement = self._decode_announcement(method, path, body)
         except InvalidInputError as error:
@@ -343,14 +350,46 @@
             return RegistryResponse(404, b"{}")
         if isinstance(announcement, Heartbeat):
             verdict = self._instances.note_heartbeat(announcement)
+            self._liveness.note_heartbeat(announcement, now=self._clock())
         else:
             now_ms = int(self._wall_clock() * 1000)
             verdict = self._instances.note_departure(announcement, now_ms=now_ms)
         if verdict is not Verdict.UNCHANGED:
             self._log_announcement(announcement, verdict)
         self._publish_instance()
+        is_leaving = isinstance(announcement, Departure) or announcement.leaving
+        if is_leaving and not await self._hold_departure(announcement.instance):
+            _log.warn("departure-not-held", instance=announcement.instance)
+            return RegistryResponse(503, b"{}")
         return RegistryResponse(200, b"{}")
 
+    async def _hold_departure(self, instance: str) -> bool:
+        """Wait until the departure is kept outside this process; return False if it is not.
+
+        The acknowledgement is a promise that must hold after a restart of this process.
+        """
+        known = self.board.earlier_lookup_done
+        if not known.value:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(MAX_LOOKUP_WAIT_S):
+                    await known.wait_change(known.version)
+            self._publish_instance()
+        current = self._instances.current
+        if not known.value or current is None or current.instance != instance:
+            # Of a backend server that nobody knows, only a late heartbeat could arrive.
+            return self.board.departures_known.value
+        if not current.leaving:
+            # The departure was that of an earlier start.
+            return True
+        return await self.plane.hold_departure()
+
+    async def _publish_when_departures_known(self) -> None:
+        """Publish the backend server that has announced itself before departures were known."""
+        known = self.board.departures_known
+        while not known.value:
+            await known.wait_change(known.version)
+        self._publish_instance()
+
     async def _follow_earlier_instance(self) -> None:
         """Publish the backend server once the record of an earlier process is known."""
         known, earlier = self.board.earlier_lookup_done, self.board.earlier_instance
@@ -372,7 +411,18 @@
         earlier = self.board.earlier_instance.value
         if earlier is not None:
             self._instances.note_earlier_instance(earlier)
-        self.board.instance.set(self._instances.current)
+        current = self._instances.current
+        if current is not None and not current.leaving and not self._is_known_to_run(current):
+            return
+        self.board.instance.set(current)
+
+    def _is_known_to_run(self, instance: LocalInstance) -> bool:
+        """Tell whether a backend server that announces itself may be given calls.
+
+        An earlier process may have acknowledged, during an outage of the object API, that it
+        leaves. If this process has started in that outage, a late heartbeat is no proof.
+        """
+        return self.board.departures_known.value or self._liveness.is_running(instance)
 
     def _log_announcement(self, announcement: Heartbeat | Departure, verdict: Verdict) -> None:
         current = self._instances.current
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -64,6 +64,12 @@
 FIRST_ERA = 1
 # Nodes that are asked for the earlier record of this node when the store may have lost it.
 EARLIER_RECORD_PEERS = 2
+# How long the acknowledgement that a backend server leaves waits for the write to the object API,
+# and then for other nodes; it counts if it arrives within 1 s.
+DEPARTURE_WRITE_S = 0.25
+DEPARTURE_EXCHANGE_S = 0.4
+# Nodes that are sent the record of a leaving backend server while the object API does not take it.
+DEPARTURE_HOLDERS = 2
 # Nodes that hear of another era read their own entries at random moments within this time; lost
 # entries have to be written again within 2 s.
 ERA_SPREAD_S = 0.5
@@ -114,6 +120,8 @@
         self._remove_at: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
         self._changed = asyncio.Event()
+        # Set for a moment when this node's entry has been written.
+        self._entry_changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         # Tasks that end on their own.
         self._background_tasks: set[asyncio.Task[None]] = set()
@@ -211,6 +219,7 @@
         self._merge_records(records, source=OBJECT_API_SOURCE)
         if complete and listing.era <= FIRST_ERA:
             self._finish_earlier_record_lookup(OBJECT_API_SOURCE)
+            self._note_departures_known()
         elif complete and not self._board.earlier_lookup_done.value:
             self._start_background_task(self._look_up_earlier_record_at_peers())
         if is_new_era and had_listed:
@@ -233,6 +242,16 @@
         asked = self._rng.sample(peers, min(EARLIER_RECORD_PEERS, len(peers)))
         await asyncio.gather(*(self._exchange_with(record) for record in asked))
         self._finish_earlier_record_lookup(OBJECT_API_SOURCE)
+        self._note_departures_known()
+
+    def _note_departures_known(self) -> None:
+        """Note that the object API responded when this process started.
+
+        While it does not respond, an acknowledged departure is only held by other nodes, which may
+        have been killed together with the earlier process of this node.
+        """
+        if not self.update_source.started_in_outage:
+            self._board.departures_known.set(True)
 
     async def _restore_entries(self) -> None:
         """Write again the entries of leaving backend servers that the store has lost.
@@ -402,6 +421,40 @@
         self._update_endpoints()
         self._changed.set()
 
+    async def hold_departure(self) -> bool:
+        """Wait until the object API or another node has the record of this node.
+
+        Return False if neither takes it in time.
+        """
+        self._update_own_record()
+        if self.update_source.reaches_object_api:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(DEPARTURE_WRITE_S):
+                    while self._is_own_entry_outdated():
+                        await self._entry_changed.wait()
+        if not self._is_own_entry_outdated():
+            return True
+        return await self._send_to_holders()
+
+    async def _send_to_holders(self) -> bool:
+        """Send this node's record to some other nodes; return whether one has taken it."""
+        others = [
+            record for vm, record in self._members.records.items() if vm != self._own_record.vm
+        ]
+        asked = self._rng.sample(others, min(DEPARTURE_HOLDERS, len(others)))
+        if not asked:
+            return False
+        exchanges = [
+            asyncio.create_task(self._exchange_with(record, timeout_s=DEPARTURE_EXCHANGE_S))
+            for record in asked
+        ]
+        done, pending = await asyncio.wait(exchanges, timeout=DEPARTURE_EXCHANGE_S)
+        for exchange in pending:
+            exchange.cancel()
+        holders = sum(isinstance(exchange.result(), ExchangeMessage) for exchange in done)
+        _log.info("departure-held", asked=len(asked), holders=holders)
+        return holders > 0
+
     async def _follow_instance(self) -> None:
         cell = self._board.instance
         while True:
@@ -462,6 +515,8 @@
             is_same_era = era == self._entries_era == self._board.store_era.value
             if is_same_era and (known is None or known.version < version):
                 self._stored_entries[key] = StoredObject(key, version, value)
+                self._entry_changed.set()
+                self._entry_changed.clear()
 
     async def _follow_era(self) -> None:
         """Find out whether the store has lost this node's entry when its era changes.
--- a/src/ibiswick/_internal/direct/reading.py
+++ b/src/ibiswick/_internal/direct/reading.py
@@ -232,6 +232,11 @@
         """Tell whether the last call for members to the object API succeeded."""
         return self._members_follower.is_reachable
 
+    @property
+    def started_in_outage(self) -> bool:
+        """Tell whether the object API did not respond when this node first read from it."""
+        return any(item.failed_before_listing for item in self._followers)
+
     @property
     def read_ms(self) -> int:
         """Return the approximate duration of the first read of the configuration, 0 if unknown."""
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -72,6 +72,9 @@
         self.earlier_instance: Cell[LocalInstance | None] = Cell(None)
         # Whether the lookup of `earlier_instance` has ended, with or without a result.
         self.earlier_lookup_done: Cell[bool] = Cell(False)
+        # Whether the object API responded when this process started, so that it had every departure
+        # that an earlier process acknowledged.
+        self.departures_known: Cell[bool] = Cell(False)
         # Priorities of the calls that run at the local backend server, by attempt id; written by
         # calls/inbound.py, which assigns the slots.
         self.running_call_priorities: dict[bytes, int] = {}
