Match a response by its id only once on a connection after an error

Cause: all attempts of a call carry the same attempt id. After a rejection the call may be tried again at the same backend server on the same connection, where a second, late copy of the rejection was taken for the response to the attempt that was running. Change: a connection remembers the ids of calls that got an error response on it, and carries no further attempt of these; it is replaced after 64 of them. The new test failed on the former code with calls that were answered 503 and had run, and passes now.

--- a/src/ibiswick/_internal/calls/connections.py
+++ b/src/ibiswick/_internal/calls/connections.py
@@ -28,6 +28,10 @@
 
 # Reading pauses while more than this many bytes of a response's body are buffered.
 RESPONSE_HIGH_WATER_BYTES = 256 * 1024
+# Error responses that a connection may carry before it is replaced, as their ids are kept.
+MAX_FAILED_IDS = 64
+# The lowest status of a response after which a call may be sent to the same server again.
+MIN_ERROR_STATUS = 400
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 # Bytes of framing that a response may have for each byte of content; a chunk of one byte takes six.
 MAX_FRAMING_RATIO = 8
@@ -118,6 +122,7 @@
         "_continue_waiter",
         "_deadline",
         "_expires_at",
+        "_failed_ids",
         "_is_close_delimited",
         "_is_head",
         "_is_skipping",
@@ -163,6 +168,8 @@
         # The body has no length and ends when the server closes the connection.
         self._is_close_delimited = False
         self._reading_paused = False
+        # Ids of the calls that got an error response on this connection.
+        self._failed_ids: set[bytes] = set()
         self._began_at = 0.0
         # Bytes received during the exchange, and how many of them are content of its response.
         self._received_bytes = 0
@@ -446,6 +453,7 @@
             self._not_reusable = True
         self._response = None
         self.resume_reading()
+        self._note_failed_id(response.status)
         if self._is_head:
             # The parser still waits for a body of the announced length.
             self._parser = None
@@ -455,6 +463,24 @@
             self._connections.release(self)
         response.wake()
 
+    def _note_failed_id(self, status: int) -> None:
+        """Remember the id of a call that may be sent to this server again after an error."""
+        limits = self._limits
+        if status < MIN_ERROR_STATUS or not limits.skip_stale_responses:
+            return
+        if limits.expected_id is not None:
+            self._failed_ids.add(limits.expected_id)
+        if len(self._failed_ids) >= MAX_FAILED_IDS:
+            self._not_reusable = True
+
+    def may_carry(self, call_id: bytes | None) -> bool:
+        """Tell whether a response on this connection can be matched to a call by its id.
+
+        It can't if the call got an error response here before: the server may send a second copy of
+        that response, which has the same id as the response to the next attempt.
+        """
+        return call_id not in self._failed_ids
+
     def is_stale(self, *, now: float, idle_limit_s: float) -> bool:
         """Tell whether the server may close the connection before it reads another request."""
         if self.server_keep_alive_s is not None:
@@ -564,18 +590,24 @@
                 return
 
     def acquire(
-        self, *, now: float, idle_limit_s: float, reuse_within_s: float | None
+        self,
+        *,
+        now: float,
+        idle_limit_s: float,
+        reuse_within_s: float | None,
+        call_id: bytes | None = None,
     ) -> Connection | None:
-        """Return the most recently used idle connection, or None if none may be reused."""
-        while self._idle:
-            connection = self._idle[-1]
+        """Return the most recently used idle connection that may carry a call, None without one."""
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
             if not connection.is_open or connection.is_stale(now=now, idle_limit_s=idle_limit_s):
-                self._idle.pop()
+                self._idle.pop(index)
                 connection.abort()
                 continue
             if reuse_within_s is not None and now - connection.received_at > reuse_within_s:
                 return None
-            return self._idle.pop()
+            if connection.may_carry(call_id):
+                return self._idle.pop(index)
         return None
 
     def close_oldest_idle(self) -> bool:
--- a/src/ibiswick/_internal/calls/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -82,6 +82,7 @@
             now=time.monotonic(),
             idle_limit_s=self._idle_limit_s,
             reuse_within_s=limits.reuse_within_s,
+            call_id=limits.expected_id,
         )
         if connection is None:
             connection = await self._open(remote, connections, limits)
@@ -104,6 +105,7 @@
                 now=time.monotonic(),
                 idle_limit_s=self._idle_limit_s,
                 reuse_within_s=limits.reuse_within_s,
+                call_id=limits.expected_id,
             )
             if connection is not None:
                 return connection
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -56,6 +56,8 @@
     ),
 }
 PIECE_INTERVAL_S = 0.001
+# Time between copies of a rejection; about as long as a caller's node waits before it tries again.
+COPY_INTERVAL_S = 0.02
 
 
 class FakeBackendServer:
@@ -64,8 +66,9 @@
     The last part of a path is a behaviour: `ok`, `slow`, `shed`, `fail`, `unsigned`, `crash`,
     `unframed`, `cut-unframed`, `extra`, or `late-extra`, which sends a second response later.
     `fail-then-shed` fails a call on the first of the backend servers that share `failed_attempts`,
-    and sheds it after that. Behaviours in `ENDLESS_RESPONSES` send bytes until the node closes the
-    connection.
+    and sheds it after that. `shed-repeatedly-then-run` sheds the first attempt of a call and sends
+    further copies of that response, and runs the next attempt. Behaviours in `ENDLESS_RESPONSES`
+    send bytes until the node closes the connection.
     """
 
     def __init__(
@@ -142,10 +145,15 @@
         if behaviour == "fail-then-shed":
             behaviour = "shed" if attempt in server.failed_attempts else "fail"
             server.failed_attempts.add(attempt)
+        if behaviour == "shed-repeatedly-then-run":
+            is_first = attempt not in server.failed_attempts
+            server.failed_attempts.add(attempt)
+            behaviour = "shed" if is_first else "slow"
+            if is_first:
+                for number in range(1, 20):
+                    server.loop.call_later(COPY_INTERVAL_S * number, self._shed, attempt)
         if behaviour == "shed":
-            self._write(
-                "503 Busy", attempt, b"", signed=False, extra="Ibiswick-Not-Executed: 1\r\n"
-            )
+            self._shed(attempt)
             return
         server.runs[attempt] += 1
         server.running += 1
@@ -157,6 +165,10 @@
         content = f"{attempt} by {server.instance}, {len(body)} bytes".encode()
         self._respond(behaviour, attempt, content)
 
+    def _shed(self, attempt: str) -> None:
+        extra = "Ibiswick-Not-Executed: 1\r\n"
+        self._write("503 Busy", attempt, b"", signed=False, extra=extra)
+
     def _respond(self, behaviour: str, attempt: str, content: bytes) -> None:
         if behaviour == "crash":
             self._transport.abort()
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -14,6 +14,7 @@
 
 from call_network import Client, VirtualLoop, run_virtual
 from direct_network import DirectMesh, build_request
+from ibiswick._internal.calls.connections import MAX_FAILED_IDS
 from ibiswick._internal.shared.records import Phase
 from platform_documents import build_heartbeat_body
 
@@ -141,6 +142,43 @@
         assert client.body.startswith(f"{attempt} by".encode())
 
 
+def test_a_second_copy_of_a_rejection_does_not_refuse_the_next_attempt() -> None:
+    """Guard against "not run" for a call that runs, because all its attempts have the same id.
+
+    A backend server rejects a call and sends that response again, late, on the connection that
+    carries the next attempt.
+    """
+
+    async def main(loop: VirtualLoop) -> list[tuple[int, int]]:
+        mesh = DirectMesh(loop, ["counter", "archive"])
+        await mesh.start()
+        found = []
+        for number in range(20):
+            path, attempt = "/book/1/shed-repeatedly-then-run", f"a{number}"
+            client = await mesh.call(0, path, attempt, method="POST")
+            await asyncio.sleep(0.5)
+            found.append((client.status, mesh.count_runs(attempt)))
+        return found
+
+    found = run_virtual(main)
+    # Where the retry budget is used up, the call has not run.
+    assert set(found) <= {(200, 1), (503, 0)}
+    assert found.count((200, 1)) >= 10
+
+
+def test_a_connection_with_many_errors_is_replaced() -> None:
+    """Guard against ids of calls that pile up on a connection which is used for long."""
+
+    async def scenario(mesh: DirectMesh) -> int:
+        for number in range(3 * MAX_FAILED_IDS):
+            await mesh.call(0, "/read/1/fail", f"a{number}")
+        pools = [node._backend_pool._connections.values() for node in mesh.nodes]
+        opened = [c for pool in pools for remote in pool for c in remote._open]
+        return max((len(connection._failed_ids) for connection in opened), default=0)
+
+    assert run_mesh(scenario) < MAX_FAILED_IDS
+
+
 def test_pipelined_calls_run_together_and_are_answered_in_order() -> None:
     """Guard against pipelined calls that run one by one, and against responses out of order."""
 
