Let readers serve polls while a confirmation is under way

Cause: a reader stopped serving polls 2.8 s after its last confirmation. One that collects changes and reads a large configuration can take nearly as long, and nodes with slow links then read it themselves. Change: without a pause of the process, a read that fails shows the outage first, so the limit also covers the time of that read: 3.8 s.

--- a/src/ibiswick/_internal/direct/reading.py
+++ b/src/ibiswick/_internal/direct/reading.py
@@ -88,6 +88,10 @@
 # retries within 1 s, and all readers lose their watches together when the object API drops its
 # history.
 READER_OUTAGE_GRACE_S = 1.2
+# A reader whose configuration has not been confirmed for longer, as after a pause of its process,
+# does not serve other nodes. Without a pause, a read that fails shows the outage before: it begins
+# within CONFIRM_MAX_S and takes 1 s at most.
+READER_STALE_S = CONFIRM_MAX_S + 1.0 + READER_OUTAGE_GRACE_S
 # Failures that are known only when the timeout of a poll has passed.
 TIMEOUT_ERRORS = (ConnectTimeoutError, ExchangeTimeoutError, UnacknowledgedError)
 
@@ -255,7 +259,7 @@
         age_s = self._clock() - self.configuration_holds_at
         return (
             self.follows_object_api
-            and age_s < CONFIRM_MAX_S + READER_OUTAGE_GRACE_S
+            and age_s < READER_STALE_S
             and all(item.outage_s < READER_OUTAGE_GRACE_S for item in self._followers)
         )
 
