Replace a reader only after a poll that fails late enough

Cause: a silent reader is not polled for 5 s and was replaced after 5 s, so a reader that was back for 3 s could be replaced before it was polled again. Change: a node takes the place of a reader only if a poll failed 5 s or more after the first failed one. The new test fails on the former code.

--- a/src/ibiswick/_internal/direct/readers.py
+++ b/src/ibiswick/_internal/direct/readers.py
@@ -91,14 +91,17 @@
         self._vm = vm
         self._availability_zone = availability_zone
         self._rng = rng
-        # Until when a reader is not polled, and since when its polls have failed.
+        # Until when a reader is not polled, and when the first and the last of its polls in a row
+        # failed.
         self._paused_until: dict[str, float] = {}
         self._failing_since: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
 
     def note_success(self, vm: str) -> None:
         """Note that a poll succeeded."""
         self._paused_until.pop(vm, None)
         self._failing_since.pop(vm, None)
+        self._failed_at.pop(vm, None)
 
     def note_failure(self, vm: str, *, now: float, retry_soon: bool) -> None:
         """Note that a poll failed; with `retry_soon`, the reader is polled again soon."""
@@ -106,6 +109,7 @@
             RETRY_AFTER_REFUSAL_S if retry_soon else RETRY_AFTER_TIMEOUT_S
         )
         self._failing_since.setdefault(vm, now)
+        self._failed_at[vm] = now
 
     def list_paused(self, *, now: float) -> set[str]:
         """Return the readers that are not polled for now."""
@@ -128,10 +132,16 @@
     def is_reader(self, records: Iterable[NodeRecord], *, now: float) -> bool:
         """Tell whether this node is a reader of its availability zone.
 
-        While no reader of any zone can be polled, the nodes ranked next are readers at once.
+        While no reader of any zone can be polled, the nodes ranked next are readers at once. This
+        node takes the place of a reader only if a poll has failed after `REPLACE_AFTER_S`: a silent
+        reader is not polled for as long, and may be back.
         """
         known = list(records)
-        replaced = self._list_replaced(now)
+        replaced = {
+            vm
+            for vm, failed_at in self._failed_at.items()
+            if failed_at - self._failing_since[vm] >= REPLACE_AFTER_S
+        }
         if self._is_chosen(known, excluded=replaced):
             return True
         paused = self.list_paused(now=now)
--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -436,6 +436,18 @@
     assert not selector.is_reader(records, now=7.0)
 
 
+def test_a_slow_link_does_not_replace_a_reader_that_was_not_polled_again() -> None:
+    """Guard against a reader with a slow link in place of one that is back but was not polled.
+
+    Such a node read every version in a storm, and applied them up to 5.8 s late.
+    """
+    records, selector = build_records(), build_selector("a-2")
+    selector.note_failure("a-0", now=0.0, retry_soon=False)
+    assert not selector.is_reader(records, now=5.5)
+    selector.note_failure("a-0", now=6.5, retry_soon=False)
+    assert selector.is_reader(records, now=6.6)
+
+
 def test_polls_at_the_same_time_go_to_different_readers() -> None:
     """Guard against two polls that both wait for the same unresponsive reader."""
     records, selector = build_records(), build_selector()
