Let a drain wait until responses have been sent

Cause: a drain ended when no call was in flight, and a call ends when its response is queued. Change: the drain also waits for connections that have bytes to send, within the time to stop.

--- a/src/ibiswick/_internal/calls/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -684,6 +684,11 @@
 
     # Flow
 
+    @property
+    def is_sending(self) -> bool:
+        """Tell whether bytes wait until the caller's link takes them."""
+        return self._transport.get_write_buffer_size() > 0
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
         self._transport.write(data)
@@ -809,6 +814,11 @@
             backlog=BACKLOG,
         )
 
+    @property
+    def is_sending(self) -> bool:
+        """Tell whether responses that have been made are still being sent."""
+        return any(connection.is_sending for connection in self.connections)
+
     async def stop(self) -> None:
         """Close the listener and idle connections, and others after their responses."""
         if self._server is None or self._socket is None:
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -256,7 +256,7 @@
         _log.info("phase-changed", phase=phase.value, in_flight=self.board.in_flight.value)
 
     async def _drain(self) -> None:
-        """Wait for the signal to stop, then until callers have left and calls have ended."""
+        """Wait for the signal to stop, then until callers have left and have their responses."""
         drain = self.board.drain_requested
         while not drain.value:
             await drain.wait_change(drain.version)
@@ -270,11 +270,16 @@
         while (now := self._clock()) < until:
             if now - started >= accept_s:
                 self.board.accepts_peer_calls.set(False)
-            if in_flight.value == 0 and now - started >= MIN_DRAIN_S:
+            is_idle = in_flight.value == 0 and not self._is_sending()
+            if is_idle and now - started >= MIN_DRAIN_S:
                 break
             await asyncio.sleep(0.05)
         self._set_phase(Phase.STOPPED)
 
+    def _is_sending(self) -> bool:
+        """Tell whether callers or other nodes are still receiving responses."""
+        return self._caller_listener.is_sending or self._peer_listener.is_sending
+
     # Readiness
 
     @property
--- a/tests/call_network.py
+++ b/tests/call_network.py
@@ -47,6 +47,11 @@
             self.network.carried_bytes[self.port] += len(data)
             self._post(bytes(data))
 
+    def get_write_buffer_size(self) -> int:
+        """Return the bytes that the other end has not read."""
+        unread = self.other._inbox if self.other is not None else ()
+        return sum(len(item) for item in unread if isinstance(item, bytes))
+
     def _post(self, item: bytes | BaseException | None) -> None:
         if self.other is not None and not self.silent:
             self.other._inbox.append(item)
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -365,6 +365,32 @@
     assert run_mesh(scenario) <= 1.2
 
 
+@pytest.mark.parametrize(("reads_after_s", "stops_within_s"), [(4.0, 4.6), (60.0, 6.0)])
+def test_a_stop_waits_for_callers_that_read_slowly(
+    reads_after_s: float, stops_within_s: float
+) -> None:
+    """Guard against responses that are cut off because they were made but not yet sent.
+
+    A caller that does not read must not keep the process beyond its time to stop.
+    """
+
+    async def scenario(mesh: DirectMesh) -> float:
+        node = mesh.nodes[0]
+        client = await mesh.connect(node.settings.caller.port)
+        assert client is not None
+        client.transport.write(build_request("/read/1/ok", "a1"))
+        client.transport.pause_reading()
+        await asyncio.sleep(0.2)
+        started = mesh.loop.time()
+        mesh.loop.call_later(reads_after_s, client.transport.resume_reading)
+        node.board.drain_requested.set(True)
+        await mesh.tasks[0]
+        return mesh.loop.time() - started
+
+    took_s = run_mesh(scenario)
+    assert min(reads_after_s, 4.0) <= took_s <= stops_within_s
+
+
 def test_calls_made_by_running_calls_are_not_shed_for_their_target() -> None:
     """Guard against the refusal of a call that a running call needs to complete.
 
