Acknowledge the departure of an unknown instance after an outage

Cause: a node that had started in an outage of the object API answered 503 to the departure of an instance that it did not know for as long as it lived. Change: it is acknowledged when the earlier record is known and the object API responds.

--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -382,7 +382,7 @@
         current = self._instances.current
         if not known.value or current is None or current.instance != instance:
             # Of a backend server that nobody knows, only a late heartbeat could arrive.
-            return self.board.departures_known.value
+            return known.value and self.plane.update_source.reaches_object_api
         if not current.leaving:
             # The departure was that of an earlier start.
             return True
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -149,6 +149,24 @@
     assert run_mesh(scenario) == (200, True)
 
 
+def test_the_departure_of_an_unknown_instance_is_acknowledged_after_an_outage() -> None:
+    """Guard against a node that has started in an outage and never acknowledges a departure."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[int, int]:
+        mesh.sends_heartbeats[LEAVING] = False
+        set_platform_reachable(mesh, reachable=False)
+        mesh.store.delete(f"meshnodes/vm-{LEAVING}")
+        for index in range(3):
+            await mesh.restart(index)
+        await asyncio.sleep(0.5)
+        early = await leave(mesh, LEAVING, "deregister")
+        set_platform_reachable(mesh, reachable=True)
+        await asyncio.sleep(1.5)
+        return early, await leave(mesh, LEAVING, "deregister")
+
+    assert run_mesh(scenario) == (503, 200)
+
+
 def test_a_running_backend_server_is_used_soon_after_a_restart_in_an_outage() -> None:
     """Guard against backend servers that stay out of use because their node is careful."""
 
