Trust a first heartbeat in a later era of the store

Cause: after a restore of the store, a node whose earlier record came from another node before the listing never learned that the departures are known, so each start of its backend server needed two heartbeats. An error of a confirmation that met the end of its watch was reported as unhandled. Change: the listing notes it in that order too, and the error is marked as seen. Measured: test_a_first_heartbeat_counts_in_a_later_era failed on the former code and passes here.

--- a/src/ibiswick/_internal/direct/follower.py
+++ b/src/ibiswick/_internal/direct/follower.py
@@ -237,6 +237,9 @@
             self._interruption = None
             for item in waits:
                 item.cancel()
+            if interruption.done() and not interruption.cancelled():
+                # Marks an error as seen if the watch has returned at the same time.
+                interruption.exception()
         self._check_era(listing.era)
         self._check_era(self._era)
         if not stale:
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -220,7 +220,9 @@
         if complete and listing.era <= FIRST_ERA:
             self._finish_earlier_record_lookup(OBJECT_API_SOURCE)
             self._note_departures_known()
-        elif complete and not self._board.earlier_lookup_done.value:
+        elif complete and self._board.earlier_lookup_done.value:
+            self._note_departures_known()
+        elif complete:
             self._start_background_task(self._look_up_earlier_record_at_peers())
         if is_new_era and had_listed:
             self._start_background_task(self._restore_entries())
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -195,6 +195,23 @@
     assert run_mesh(scenario)
 
 
+def test_a_first_heartbeat_counts_in_a_later_era() -> None:
+    """Guard against a node that trusts no first heartbeat once the store has been restored.
+
+    Another node has sent the earlier record before the members are listed.
+    """
+
+    async def scenario(mesh: DirectMesh) -> bool:
+        mesh.store.restore(mesh.store.copy())
+        await asyncio.sleep(2.0)
+        await mesh.restart(LEAVING)
+        mesh.nodes[LEAVING].board.earlier_lookup_done.set(True)
+        await asyncio.sleep(2.0)
+        return mesh.nodes[LEAVING].board.departures_known.value
+
+    assert run_mesh(scenario)
+
+
 def test_two_heartbeats_that_arrive_together_prove_nothing() -> None:
     """Guard against late heartbeats that were held up together."""
     check = LivenessCheck()
