--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -50,8 +50,8 @@
 STOP_MARGIN_SHARE = 1 / 6
 CLOSE_TIMEOUT_S = 0.4
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
-# How long the acknowledgement of a departure waits for the record of the earlier process; it counts if
-# it arrives within 1 s.
+# How long the acknowledgement of a departure waits for the record of the earlier process; it counts
+# if it arrives within 1 s.
 MAX_LOOKUP_WAIT_S = 0.15
 
 _log = EventLog(component="node")
