Map requests to tenants by their credentials

Cause: configurations may define tenants, and the product knew none: credentials were passed on to backend servers, and removed ones were served.

The caller's node identifies each request, answers 401 (503 while its configuration is not confirmed), drops the credential, and names the tenant to the backend server.

--- a/src/ibiswick/_internal/calls/answers.py
+++ b/src/ibiswick/_internal/calls/answers.py
@@ -41,6 +41,13 @@
     return build_answer(503, "not-run", detail, headers)
 
 
+def build_over_limit_answer(*, retry_after_s: float, fractional_retry_after: bool) -> Answer:
+    """Build the response to a call beyond the limit of its tenant, which has not run."""
+    retry_after = format_retry_after(retry_after_s, fractions=fractional_retry_after)
+    headers = [(OUTCOME_HEADER, OUTCOME_NOT_RUN), (b"retry-after", retry_after)]
+    return build_answer(429, "over-limit", "the tenant is over its limit", headers)
+
+
 def build_rejected_answer(detail: str, *, retry_after_s: float) -> Answer:
     """Build the response to a call that has not run because the backend server refused it."""
     headers = [
--- /dev/null
+++ b/src/ibiswick/_internal/calls/callers.py
@@ -0,0 +1,42 @@
+"""Define how calls ask who their caller is and whether a call may go."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Sequence
+from typing import Protocol
+
+from ..shared.records import ANONYMOUS, Caller, Route, Tenant
+
+
+class CallerGate(Protocol):
+    """Identify callers and enforce the limits of their tenants."""
+
+    def update(self, tenants: tuple[Tenant, ...], *, now: float) -> None:
+        """Apply the tenants of a new snapshot."""
+
+    def identify(self, credentials: Sequence[bytes], route: Route) -> Caller:
+        """Identify a caller by the values of its credential headers."""
+
+    def acquire(self, tenant: str) -> Awaitable[float | None]:
+        """Take a token of a tenant; return None, or the seconds after which to come back."""
+
+    def refund(self, tenant: str) -> None:
+        """Return the token of a call that has not run."""
+
+
+class OpenGate:
+    """Let every call go, for deployments without tenants."""
+
+    def update(self, tenants: tuple[Tenant, ...], *, now: float) -> None:
+        """Do nothing."""
+
+    def identify(self, credentials: Sequence[bytes], route: Route) -> Caller:
+        """Return the anonymous caller."""
+        return ANONYMOUS
+
+    async def acquire(self, tenant: str) -> float | None:
+        """Return None."""
+        return None
+
+    def refund(self, tenant: str) -> None:
+        """Do nothing."""
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -11,6 +11,10 @@
 CALL_ID_HEADER = b"ibiswick-call"
 DEADLINE_HEADER = b"ibiswick-deadline-ms"
 LOAD_HEADER = b"ibiswick-load"
+# Name of the caller's tenant, set by the caller's node only.
+TENANT_HEADER = b"ibiswick-tenant"
+# Proof that the caller's node knows the credentials of the tenant.
+TENANT_PROOF_HEADER = b"ibiswick-tenant-proof"
 WORKSPACE_HEADER = b"ibiswick-workspace"
 SERVICE_HEADER = b"ibiswick-service"
 # How the call may use the slots of the called node; see `Terms`.
@@ -53,8 +57,8 @@
 class HeaderNames(NamedTuple):
     """Name the headers that callers and backend servers use besides those of ibiswick.
 
-    They share the prefix of ibiswick's own headers, and all others with it are removed. A header
-    with an empty name is not used.
+    They share the prefix of ibiswick's own headers, except for `credential`, and all others with
+    it are removed. A header with an empty name is not used.
     """
 
     # The caller's id of the call, which a backend server echoes.
@@ -67,6 +71,10 @@
     signature: bytes = b""
     # Says that a backend server has not run the call.
     not_run: bytes = b""
+    # Identifies the caller's tenant, and is not forwarded.
+    credential: bytes = b""
+    # Tells a backend server the name of the caller's tenant.
+    tenant: bytes = b""
     # Not a header: in the id of a call made by a running call, ends the id of the running call.
     # Ids of another form also work: their calls have the priority of their route.
     child_separator: bytes = b""
@@ -133,13 +141,19 @@
     terms: bytes = b""
     # Rate of the link of the sending VM, 0 if unknown.
     link_bytes_per_s: int = 0
+    # Values of the credential headers.
+    credentials: tuple[bytes, ...] = ()
+    # Of the caller, as its node states them; empty in requests that come from callers.
+    tenant: bytes = b""
+    tenant_proof: bytes = b""
 
 
 def read_request_head(
     headers: Headers, names: HeaderNames = NO_HEADER_NAMES, *, from_node: bool = False
 ) -> RequestHead:
     """Parse the headers of a request in one pass; only a node may name the caller's service."""
-    host = call_id = workspace = service = attempt_id = terms = b""
+    host = call_id = workspace = service = attempt_id = terms = tenant = tenant_proof = b""
+    credentials: tuple[bytes, ...] = ()
     host_count = 0
     link_bytes_per_s = 0
     length = deadline_ms = None
@@ -161,6 +175,9 @@
                     _drop_connection_headers(headers), names, from_node=from_node
                 )
             continue
+        if name == names.credential:
+            credentials += (value,)
+            continue
         if name.startswith(OWN_HEADER_PREFIX):
             if name == names.attempt_id:
                 attempt_id = value
@@ -177,6 +194,10 @@
                 service = value
             elif name == TERMS_HEADER:
                 terms = value
+            elif name == TENANT_HEADER and from_node:
+                tenant = value
+            elif name == TENANT_PROOF_HEADER and from_node:
+                tenant_proof = value
             elif name == LINK_HEADER and value.isdigit():
                 link_bytes_per_s = int(value[:MAX_LINK_RATE_DIGITS])
             continue
@@ -199,6 +220,9 @@
         attempt_id,
         terms,
         link_bytes_per_s,
+        credentials,
+        tenant,
+        tenant_proof,
     )
 
 
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -646,6 +646,8 @@
         if self._names.expected_instance and self._instance is not None:
             instance = self._instance.instance.encode("latin-1")
             lines += (self._names.expected_instance, b": ", instance, b"\r\n")
+        if head.tenant and self._names.tenant:
+            lines += (self._names.tenant, b": ", head.tenant, b"\r\n")
         lines += (write_framing(head, body), b"\r\n")
         is_head = method == "HEAD"
         if body.is_complete:
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -20,12 +20,13 @@
     UnacknowledgedError,
 )
 from ..shared.logs import EventLog
-from ..shared.records import Phase, Route, ServicePolicy, Snapshot
+from ..shared.records import Caller, Phase, Route, ServicePolicy, Snapshot
 from .answers import (
     Answer,
     build_answer,
     build_closing_headers,
     build_not_run_answer,
+    build_over_limit_answer,
     build_unknown_answer,
     forward_response,
     send_answer,
@@ -33,6 +34,7 @@
 from .balance import SMALL_SERVICE_ENDPOINTS, Balancer, EndpointState, HealthChange
 from .bodies import MAX_REPLAY_BYTES, RequestBody, find_lowest_known_rate, pace_parts
 from .callcounts import CallCounts
+from .callers import CallerGate, OpenGate
 from .exchanges import (
     ByteBudget,
     ConnectionsBusyError,
@@ -51,6 +53,7 @@
     OUTCOME_NOT_RUN,
     OUTCOME_REJECTED,
     SERVICE_HEADER,
+    TENANT_HEADER,
     TERMS_HEADER,
     WORKSPACE_HEADER,
     HeaderNames,
@@ -132,6 +135,7 @@
         link_bytes_per_s: rate of this VM's link, 0 if unknown.
         buffer_budget: bounds the bytes that are held of all responses together.
         is_current: returns False while this node may lack newer routes.
+        gate: identifies callers and enforces the limits of their tenants.
     """
 
     names: HeaderNames = NO_HEADER_NAMES
@@ -148,6 +152,7 @@
     link_bytes_per_s: int = 0
     buffer_budget: ByteBudget | None = None
     is_current: Callable[[], bool] = lambda: True
+    gate: CallerGate = OpenGate()
 
 
 DEFAULT_POLICY = CallPolicy()
@@ -185,6 +190,7 @@
         "arrived_at",
         "attempts",
         "body",
+        "caller",
         "deadline",
         "head",
         "max_attempts",
@@ -211,10 +217,12 @@
         service_name: str,
         head: RequestHead,
         body: RequestBody,
+        caller: Caller,
         arrived_at: float,
         deadline: float | None,
         polls_left: int,
     ) -> None:
+        self.caller = caller
         self.service = service
         self.service_name = service_name
         self.arrived_at = arrived_at
@@ -344,6 +352,17 @@
         # that must not run twice waits until the earlier requests there have been answered.
         if self._names.attempt_id and not call.route["idempotent"]:
             await request.wait_turn()
+        tenant = call.caller.tenant
+        if tenant:
+            retry_after_s = await self._policy.gate.acquire(tenant)
+            if retry_after_s is not None:
+                self._counts.add("ibiswick_calls_total", "result", "over-limit")
+                answer = build_over_limit_answer(
+                    retry_after_s=retry_after_s,
+                    fractional_retry_after=self._policy.fractional_retry_after,
+                )
+                send_answer(request, answer)
+                return
         service = call.service
         service.retry_budget.note_call(now=call.arrived_at)
         hedge_s = compute_hedge_delay(
@@ -355,6 +374,8 @@
             attempt = await self._try_until_final(call, service)
         else:
             attempt = await self._try_hedged(call, service, hedge_s)
+        if tenant and attempt.response is None and not call.maybe_ran:
+            self._policy.gate.refund(tenant)
         await self._send_result(call, attempt, request)
         result = "answered" if attempt.response is not None else attempt.outcome.value
         elapsed_s = self._clock() - call.arrived_at
@@ -377,6 +398,9 @@
         route = self._route_table.find(normalize_host(head.host), path, method)
         if route is None:
             return self._refuse_unrouted()
+        caller = self._policy.gate.identify(head.credentials, route)
+        if not caller.is_known:
+            return self._refuse_unidentified()
         # A new snapshot may remove the service while the body arrives.
         service_name = self._splits.choose(route)
         service = self._services[service_name]
@@ -411,6 +435,7 @@
             service_name=service_name,
             head=head,
             body=body,
+            caller=caller,
             arrived_at=now,
             deadline=deadline,
             polls_left=self._get_max_polls(service),
@@ -428,6 +453,18 @@
         detail = "no route matches, and the configuration was not confirmed recently"
         return self._build_not_run(detail, RETRY_AFTER_UNCONFIRMED_S)
 
+    def _refuse_unidentified(self) -> Answer:
+        """Refuse a call without a valid credential, with 401 only if the configuration is current.
+
+        Callers do not retry after 401, and the credential may have been added so recently that this
+        node does not know it yet.
+        """
+        if self._policy.is_current():
+            return build_answer(401, "unknown-credential", "a valid credential is needed")
+        self._counts.add("ibiswick_refused_total", "reason", "unconfirmed")
+        detail = "the credential is unknown, and the configuration was not confirmed recently"
+        return self._build_not_run(detail, RETRY_AFTER_UNCONFIRMED_S)
+
     def _get_max_polls(self, service: ServiceState) -> int:
         is_small = len(service.balancer.states) <= SMALL_SERVICE_ENDPOINTS
         return self._policy.max_polls if is_small else self._policy.max_polls_large_service
@@ -444,6 +481,7 @@
                 snapshot.routes, prefix_needs_slash=self._policy.prefix_needs_slash
             )
             self._splits.update(snapshot.routes)
+            self._policy.gate.update(snapshot.tenants, now=now)
             for name, policy in snapshot.services.items():
                 state = self._services.get(name)
                 if state is None:
@@ -753,6 +791,8 @@
             b"\r\n" + SERVICE_HEADER + b": ",
             call.service_name.encode(),
         ]
+        if call.caller.tenant:
+            lines += (b"\r\n" + TENANT_HEADER + b": ", call.caller.tenant.encode())
         if self._names.attempt_id:
             terms = self._build_terms(call, state, now)
             lines += (
@@ -795,7 +835,9 @@
             if balancer.is_local(state):
                 local_max_slot_wait_ms = int(self._compute_local_extra_wait(call, now) * 1000)
                 max_slot_wait_ms = max(max_slot_wait_ms, local_max_slot_wait_ms)
-        priority = route.get("priority", 0)
+        priority = call.caller.priority
+        if priority is None:
+            priority = route.get("priority", 0)
         parent_priority = self._find_parent_priority(call)
         if parent_priority is not None:
             # A call made by a running call is as urgent as that one, and has no target: without its
--- a/src/ibiswick/_internal/configuration/snapshots.py
+++ b/src/ibiswick/_internal/configuration/snapshots.py
@@ -18,7 +18,7 @@
     MalformedSnapshotError,
     SnapshotError,
 )
-from ..shared.records import Refusal, Route, ServicePolicy, Snapshot
+from ..shared.records import Refusal, Route, ServicePolicy, Snapshot, Tenant
 
 
 class Delta(NamedTuple):
@@ -32,6 +32,8 @@
     removed_services: tuple[str, ...]
     changed_routes: tuple[Route, ...]
     removed_routes: tuple[str, ...]
+    changed_tenants: tuple[Tenant, ...] = ()
+    removed_tenants: tuple[str, ...] = ()
 
 
 class ApplyOutcome(StrEnum):
@@ -53,6 +55,7 @@
     workspace: str
     services: dict[str, ServicePolicy]
     routes: tuple[Route, ...]
+    tenants: tuple[Tenant, ...] = ()
 
 
 def build_snapshot(
@@ -61,24 +64,35 @@
     generation: int,
     services: Mapping[str, ServicePolicy],
     routes: Iterable[Route],
+    tenants: Iterable[Tenant] = (),
 ) -> Snapshot:
-    """Build a snapshot with its digest; sort the routes by id."""
+    """Build a snapshot with its digest; sort the routes by id and the tenants by name."""
     ordered = tuple(sorted(routes, key=itemgetter("id")))
-    digest = compute_digest(_build_content(workspace, dict(services), ordered))
-    return Snapshot(workspace, generation, digest, dict(services), ordered)
+    ordered_tenants = tuple(sorted(tenants, key=itemgetter("name")))
+    snapshot = Snapshot(workspace, generation, "", dict(services), ordered, ordered_tenants)
+    return snapshot._replace(digest=compute_digest(encode_snapshot(snapshot)))
 
 
 def encode_snapshot(snapshot: Snapshot) -> dict[str, Any]:
     """Return the content that the digest covers, as stored in `blobs/<digest>`."""
-    return _build_content(snapshot.workspace, snapshot.services, snapshot.routes)
+    content = {
+        "workspace": snapshot.workspace,
+        "services": snapshot.services,
+        "routes": snapshot.routes,
+    }
+    # Left out if empty, so that snapshots without tenants keep the digests of earlier releases.
+    if snapshot.tenants:
+        content["tenants"] = snapshot.tenants
+    return content
 
 
 def parse_snapshot(content: Any, *, generation: int, digest: str) -> Snapshot:
     """Read the content of `blobs/<digest>`; raise SnapshotError unless it is a valid snapshot."""
-    if not isinstance(content, dict) or set(content) != set(_Content._fields):
-        raise MalformedSnapshotError("the snapshot is not an object with its three keys")
-    values = _convert_to_type([content[name] for name in _Content._fields], _Content)
-    snapshot = Snapshot(values.workspace, generation, digest, values.services, values.routes)
+    known = {"tenants": (), **content} if isinstance(content, dict) else {}
+    if set(known) != set(_Content._fields):
+        raise MalformedSnapshotError("the snapshot is not an object with its keys")
+    values = _convert_to_type([known[name] for name in _Content._fields], _Content)
+    snapshot = Snapshot(values.workspace, generation, digest, *values[1:])
     check_snapshot(snapshot)
     return snapshot
 
@@ -86,8 +100,7 @@
 def check_snapshot(snapshot: Snapshot) -> None:
     """Raise SnapshotError unless structure, digest and references of a snapshot are valid."""
     _check_structure(snapshot)
-    content = _build_content(snapshot.workspace, snapshot.services, snapshot.routes)
-    digest = compute_digest(content)
+    digest = compute_digest(encode_snapshot(snapshot))
     if digest != snapshot.digest:
         raise DigestMismatchError(f"expected digest {snapshot.digest}, found {digest}")
     check_references(snapshot)
@@ -107,6 +120,8 @@
     """Return the delta that turns one snapshot into another."""
     base_routes = {route["id"]: route for route in base.routes}
     target_routes = {route["id"]: route for route in target.routes}
+    base_tenants = {tenant["name"]: tenant for tenant in base.tenants}
+    target_tenants = {tenant["name"]: tenant for tenant in target.tenants}
     return Delta(
         workspace=target.workspace,
         generation=target.generation,
@@ -122,6 +137,10 @@
             route for key, route in target_routes.items() if base_routes.get(key) != route
         ),
         removed_routes=tuple(sorted(base_routes.keys() - target_routes.keys())),
+        changed_tenants=tuple(
+            tenant for key, tenant in target_tenants.items() if base_tenants.get(key) != tenant
+        ),
+        removed_tenants=tuple(sorted(base_tenants.keys() - target_tenants.keys())),
     )
 
 
@@ -143,7 +162,13 @@
     for route_id in delta.removed_routes:
         routes.pop(route_id, None)
     ordered = tuple(routes[route_id] for route_id in sorted(routes))
-    return Snapshot(delta.workspace, delta.generation, delta.digest, services, ordered)
+    tenants = {tenant["name"]: tenant for tenant in (*base.tenants, *delta.changed_tenants)}
+    for name in delta.removed_tenants:
+        tenants.pop(name, None)
+    ordered_tenants = tuple(tenants[name] for name in sorted(tenants))
+    return Snapshot(
+        delta.workspace, delta.generation, delta.digest, services, ordered, ordered_tenants
+    )
 
 
 def reuse_routes(base: Snapshot, target: Snapshot) -> Snapshot:
@@ -190,6 +215,9 @@
     ids = [route["id"] for route in snapshot.routes]
     if any(first >= second for first, second in itertools.pairwise(ids)):
         raise MalformedSnapshotError("the routes are not sorted by unique ids")
+    names = [tenant["name"] for tenant in snapshot.tenants]
+    if any(first >= second for first, second in itertools.pairwise(names)):
+        raise MalformedSnapshotError("the tenants are not sorted by unique names")
 
 
 def _convert_to_type(value: Iterable[Any], value_type: Any) -> Any:
@@ -198,9 +226,3 @@
         return msgspec.convert(tuple(value), value_type)
     except (msgspec.ValidationError, RecursionError) as error:
         raise MalformedSnapshotError(str(error)) from error
-
-
-def _build_content(
-    workspace: str, services: dict[str, ServicePolicy], routes: tuple[Route, ...]
-) -> dict[str, Any]:
-    return {"workspace": workspace, "services": services, "routes": routes}
--- a/src/ibiswick/_internal/control/messages.py
+++ b/src/ibiswick/_internal/control/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..shared.errors import MessageError
-from ..shared.records import Member, NodeException, Route, ServicePolicy
+from ..shared.records import Member, NodeException, Route, ServicePolicy, Tenant
 from ..shared.settings import Address, Port
 
 PROTOCOL_VERSION = 1
@@ -96,6 +96,7 @@
     digest: ShortText
     services: dict[str, ServicePolicy]
     routes: tuple[Route, ...]
+    tenants: tuple[Tenant, ...] = ()
 
 
 class DeltaSnapshot(NamedTuple):
@@ -109,6 +110,8 @@
     removed_services: tuple[str, ...]
     changed_routes: tuple[Route, ...]
     removed_routes: tuple[str, ...]
+    changed_tenants: tuple[Tenant, ...] = ()
+    removed_tenants: tuple[str, ...] = ()
 
 
 class SnapshotRequest(NamedTuple):
@@ -280,12 +283,21 @@
 
 def encode_message(message: Message) -> bytes:
     """Encode a message; raise MessageError when it is too large."""
-    raw = cbor2.dumps([_TYPE_CODES[type(message)], *message])
+    values = list(message)
+    # Nodes of earlier releases refuse the fields for tenants, so empty ones are left out.
+    while isinstance(message, (FullSnapshot, DeltaSnapshot)) and _is_omissible(message, values):
+        values.pop()
+    raw = cbor2.dumps([_TYPE_CODES[type(message)], *values])
     if len(raw) > MAX_MESSAGE_BYTES:
         raise MessageError(f"a {type(message).__name__} of {len(raw)} bytes is too large")
     return raw
 
 
+def _is_omissible(message: FullSnapshot | DeltaSnapshot, values: list[Any]) -> bool:
+    """Tell whether the last of the values is an empty field that has a default."""
+    return message._fields[len(values) - 1] in message._field_defaults and not values[-1]
+
+
 def decode_message(raw: bytes) -> Message:
     """Decode and check a message; raise MessageError when it is invalid."""
     if len(raw) > MAX_MESSAGE_BYTES:
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -22,6 +22,7 @@
 from ..shared.metrics import define_gauge, render_metrics
 from ..shared.objectapi import Platform
 from ..shared.records import BackendHealth, LocalInstance, Phase
+from ..tenants.gate import NullLimiter, TenantGate
 from .configuration import ConfigurationDecoder
 from .counted import CountedPlatform
 from .instances import Departure, Heartbeat, InstanceTable, LivenessCheck, Verdict
@@ -142,7 +143,7 @@
                 names=names,
                 count_nodes=lambda: board.fleet_size.value,
                 is_current=lambda: self.plane.update_source.is_current,
-            )._replace(buffer_budget=buffers),
+            )._replace(buffer_budget=buffers, gate=TenantGate(limiter=NullLimiter())),
             caller_service=settings.service,
         )
         self._inbound = Inbound(
--- a/src/ibiswick/_internal/platform/configuration.py
+++ b/src/ibiswick/_internal/platform/configuration.py
@@ -6,7 +6,8 @@
 
 from ..configuration.snapshots import build_snapshot, check_references
 from ..direct.configuration import Configuration
-from ..shared.records import CallerLimits, Route, ServicePolicy, SplitPart
+from ..shared.digests import compute_credential_digest
+from ..shared.records import CallerLimits, Route, ServicePolicy, SplitPart, Tenant
 from .fields import FieldReader
 
 # Kind and name of the object that holds the configuration in effect.
@@ -37,8 +38,11 @@
         host = reader.read_text(listener, "listeners.host")
         for rule in reader.read_list(listener, "listeners.rules"):
             routes.append(_read_route(reader, rule, host))
+    tenants = _read_tenants(reader, value)
     reader.raise_problems()
-    snapshot = build_snapshot(workspace="", generation=generation, services=services, routes=routes)
+    snapshot = build_snapshot(
+        workspace="", generation=generation, services=services, routes=routes, tenants=tenants
+    )
     check_references(snapshot)
     return Configuration(snapshot, limits)
 
@@ -99,11 +103,34 @@
     )
     if split:
         route["split"] = split
+    if reader.read_flag(rule, "rules.allow_anonymous", False):
+        route["anonymous"] = True
     if "target_latency" in rule:
         route["target_ms"] = int(reader.read_seconds(rule, "rules.target_latency") * 1000)
     return route
 
 
+def _read_tenants(reader: FieldReader, value: Any) -> list[Tenant]:
+    """Read the tenants, and keep only the digests of their keys."""
+    tenants = []
+    for entry in reader.read_list(value, "tenants", []):
+        tenant = Tenant(
+            name=reader.read_text(entry, "tenants.name"),
+            credentials=sorted(
+                compute_credential_digest(key.encode())
+                for key in reader.read_texts(entry, "tenants.api_keys")
+            ),
+        )
+        if isinstance(entry, dict) and entry.get("priority") is not None:
+            tenant["priority"] = reader.read_integer(entry, "tenants.priority")
+        rate = reader.read_integer(entry, "tenants.rate_per_s", 0)
+        if rate:
+            tenant["rate"] = rate
+            tenant["burst"] = reader.read_integer(entry, "tenants.burst", 0)
+        tenants.append(tenant)
+    return tenants
+
+
 def _read_split(reader: FieldReader, action: dict[str, Any]) -> list[SplitPart]:
     parts = [
         SplitPart(
--- a/src/ibiswick/_internal/platform/fields.py
+++ b/src/ibiswick/_internal/platform/fields.py
@@ -101,9 +101,21 @@
         """Read a table or JSON object; return an empty one if it is missing or no table."""
         return self._read_field(table, path, dict, "a table", _MISSING) or {}
 
-    def read_list(self, table: Any, path: str) -> list[Any]:
+    def read_flag(self, table: Any, path: str, default: Any = _MISSING) -> bool:
+        """Read true or false."""
+        return bool(self._read_field(table, path, bool, "true or false", default))
+
+    def read_list(self, table: Any, path: str, default: Any = _MISSING) -> list[Any]:
         """Read a list; return an empty one if it is missing or no list."""
-        return self._read_field(table, path, list, "a list", _MISSING) or []
+        return self._read_field(table, path, list, "a list", default) or []
+
+    def read_texts(self, table: Any, path: str) -> list[str]:
+        """Read a list of strings, without naming them in problems, as they may be secret."""
+        texts = self.read_list(table, path)
+        if not all(isinstance(text, str) for text in texts):
+            self.add_problem(path, "a list of strings", "another type")
+            return []
+        return texts
 
     def read_address(self, table: Any, path: str) -> Address:
         """Read an IP address and a port."""
--- a/src/ibiswick/_internal/shared/digests.py
+++ b/src/ibiswick/_internal/shared/digests.py
@@ -26,3 +26,12 @@
     True
     """
     return hashlib.blake2b(encode_canonical(value), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def compute_credential_digest(credential: bytes) -> str:
+    """Return the hexadecimal BLAKE2b digest of a credential.
+
+    >>> len(compute_credential_digest(b"secret"))
+    32
+    """
+    return hashlib.blake2b(credential, digest_size=DIGEST_BYTES).hexdigest()
--- a/src/ibiswick/_internal/shared/records.py
+++ b/src/ibiswick/_internal/shared/records.py
@@ -5,6 +5,9 @@
 from enum import IntEnum, StrEnum
 from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
+# Weight of a tenant without a limit in the order of waiting calls.
+DEFAULT_WEIGHT = 1.0
+
 
 class ServicePolicy(TypedDict):
     """Define how calls may reach the backend servers of a service."""
@@ -48,6 +51,40 @@
     # Set for large bodies, which stay in the caller's availability zone unless its backend servers
     # are much slower than others.
     prefers_local: NotRequired[bool]
+    # Callers need no credential, even if the snapshot has tenants.
+    anonymous: NotRequired[bool]
+
+
+class Tenant(TypedDict):
+    """Define a tenant, whose callers identify themselves by credentials."""
+
+    name: str
+    # Digests of the credentials; the credentials themselves are not kept.
+    credentials: list[str]
+    # If present, replaces the priority of the route.
+    priority: NotRequired[int]
+    # Calls a second of all nodes together, and the burst in calls; without a rate, no limit.
+    rate: NotRequired[int]
+    burst: NotRequired[int]
+
+
+class Caller(NamedTuple):
+    """Describe the caller of a request.
+
+    Attributes:
+        tenant: name of the tenant, empty for an anonymous caller.
+        priority: replaces the priority of the route, None to keep that.
+        weight: share of the tenant where calls of several tenants wait for slots.
+        is_known: False if the request needs a credential and has no valid one.
+    """
+
+    tenant: str = ""
+    priority: int | None = None
+    weight: float = DEFAULT_WEIGHT
+    is_known: bool = True
+
+
+ANONYMOUS = Caller()
 
 
 class CallerLimits(NamedTuple):
@@ -70,6 +107,8 @@
     digest: str
     services: dict[str, ServicePolicy]
     routes: tuple[Route, ...]
+    # Sorted by name. With tenants, routes need a credential unless they are anonymous.
+    tenants: tuple[Tenant, ...] = ()
 
 
 class Refusal(NamedTuple):
--- /dev/null
+++ b/src/ibiswick/_internal/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Identify tenants, limit their calls, and share capacity among them."""
