Presume the backend server of the record until its first heartbeat

Cause: a node that restarted forwarded no call before a heartbeat, up to 1.5 s.

Change: where the object API responded when the process started, so that every departure is known, the backend server of the stored record is used at once. It is dropped when the connection is refused or another instance responds (421), until a heartbeat arrives.

--- a/src/ibiswick/_internal/calls/dataplane.py
+++ b/src/ibiswick/_internal/calls/dataplane.py
@@ -58,6 +58,9 @@
         if not health.ready and health.reason == "connect-failed":
             self._set_health(BackendHealth(True, "answered"), "")
 
+    def note_other_instance(self) -> None:
+        """Do nothing, since no instance is expected here."""
+
     def note_health_response(self, *, draining: bool) -> None:
         """Record a response of the health endpoint."""
         self._failures = 0
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -116,6 +116,9 @@
     def note_response(self) -> None:
         """Record that the backend server responded."""
 
+    def note_other_instance(self) -> None:
+        """Record that another instance has the address of the backend server."""
+
 
 class Inbound:
     """Handle the requests that other nodes send to the peer port."""
@@ -546,6 +549,8 @@
             return None
         if head.not_run or status == 421:
             response.close()
+            if status == 421:
+                self._watcher.note_other_instance()
             detail = f"the backend server refused with {status}"
             return build_rejected_answer(
                 detail, retry_after_s=self._queue.estimate_wait(now=self._clock())
--- a/src/ibiswick/_internal/direct/instances.py
+++ b/src/ibiswick/_internal/direct/instances.py
@@ -63,12 +63,15 @@
         self._sequence = -1
         self._departed: dict[tuple[str, int], None] = {}
         self._earlier: LocalInstance | None = None
+        self._is_earlier_absent = False
         # By the id of an unknown instance, when a departure without `born` arrived (ms since 1970).
         # Every start of the instance up to that time has departed.
         self._departed_before_ms: dict[str, int] = {}
 
     def note_earlier_instance(self, earlier: LocalInstance) -> None:
         """Note what an earlier process of this node has announced."""
+        if earlier != self._earlier:
+            self._is_earlier_absent = False
         self._earlier = earlier
         if self.current is not None and self.current.born < earlier.born:
             # A late heartbeat of a start before the one that the earlier process has announced.
@@ -87,6 +90,22 @@
         if self.current is None or _get_key(self.current) == _get_key(earlier):
             self.current = (self.current or earlier)._replace(leaving=True)
 
+    @property
+    def presumed(self) -> LocalInstance | None:
+        """Return what an earlier process announced, while it probably still runs.
+
+        Heartbeats come every 1.5 s. After a restart of all nodes, half of the slots would stay
+        unused for most of that time if their nodes waited for one.
+        """
+        earlier = self._earlier
+        if self.current is not None or earlier is None or self._is_earlier_absent:
+            return None
+        return None if earlier.leaving or _get_key(earlier) in self._departed else earlier
+
+    def note_absent(self) -> None:
+        """Note that the presumed backend server did not respond, or another one did."""
+        self._is_earlier_absent = True
+
     def note_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
         """Apply a heartbeat if it is the newest."""
         key = (heartbeat.instance, heartbeat.born)
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -81,6 +81,24 @@
     def note_response(self) -> None:
         """Do nothing."""
 
+    def note_other_instance(self) -> None:
+        """Do nothing."""
+
+
+class PresumptionWatcher(NullWatcher):
+    """Report when the backend server of an earlier process can't be reached."""
+
+    def __init__(self, *, note_absent: Callable[[], None]) -> None:
+        self._note_absent = note_absent
+
+    def note_connect_failure(self, detail: str) -> None:
+        """Report that nothing listens at the address of the backend server."""
+        self._note_absent()
+
+    def note_other_instance(self) -> None:
+        """Report that another backend server has the address."""
+        self._note_absent()
+
 
 class DirectNode:
     """Own the listeners and controllers of one node."""
@@ -155,7 +173,7 @@
             board=board,
             exchange=self._backend_pool.exchange,
             counts=self.counts,
-            watcher=NullWatcher(),
+            watcher=PresumptionWatcher(note_absent=self._note_instance_absent),
             upload_idle_s=UPLOAD_IDLE_S,
             clock=clock,
             policy=build_admission_policy(
@@ -423,8 +441,18 @@
         current = self._instances.current
         if current is not None and not current.leaving and not self._is_known_to_run(current):
             return
+        if current is None and self.board.departures_known.value:
+            # The object API has no departure of this backend server.
+            current = self._instances.presumed
         self.board.instance.set(current)
 
+    def _note_instance_absent(self) -> None:
+        """Publish no backend server until a heartbeat arrives, if it was only presumed to run."""
+        if self._instances.presumed is not None:
+            _log.info("instance-absent", instance=self._instances.presumed.instance)
+            self._instances.note_absent()
+            self._publish_instance()
+
     def _is_known_to_run(self, instance: LocalInstance) -> bool:
         """Tell whether a backend server that announces itself may be given calls.
 
