Prove the tenant of a call between nodes

Cause: any process that could open a connection to the port between nodes could name a tenant; a credential in the wrong place of a configuration was quoted in the log; `Connection: x-api-key` and `X_Api_Key` changed the identity or carried the credential on; each wrong credential wrote a line; and a credential removed while its request waited was still used.

The identity is looked up again after the body and the turn in a pipeline. Problems of a configuration quote neither lists and tables nor any field of tenants. Headers whose names become reserved ones when underscores are read as hyphens are dropped. Refused callers share one line a second with a count, and ibiswick_callers_total counts identities. Tenant names that a header can't carry are refused.

--- a/src/ibiswick/_internal/calls/answers.py
+++ b/src/ibiswick/_internal/calls/answers.py
@@ -14,12 +14,13 @@
 
 
 class Answer(NamedTuple):
-    """Hold a complete response made by ibiswick."""
+    """Hold a complete response made by ibiswick; `is_logged` tells whether it was logged."""
 
     status: int
     code: str
     headers: Headers
     body: bytes
+    is_logged: bool = False
 
 
 def build_answer(status: int, code: str, detail: str, headers: Headers | None = None) -> Answer:
--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -8,6 +8,7 @@
 
 _COUNTER_DOCS = {
     "ibiswick_calls_total": "Calls on the caller port, by result.",
+    "ibiswick_callers_total": "Requests where tenants are configured, by the caller's identity.",
     "ibiswick_peer_calls_total": "Calls on the peer port, by result.",
     "ibiswick_refused_total": "Calls refused before anything was sent, by reason.",
     "ibiswick_attempts_total": "Attempts of calls, by outcome.",
--- a/src/ibiswick/_internal/calls/callers.py
+++ b/src/ibiswick/_internal/calls/callers.py
@@ -17,6 +17,12 @@
     def identify(self, credentials: Sequence[bytes], route: Route) -> Caller:
         """Identify a caller by the values of its credential headers."""
 
+    def prove(self, tenant: str, call_id: bytes, *, now: float) -> bytes:
+        """Return the proof that this node knows the tenant of a call."""
+
+    def check_proof(self, tenant: bytes, call_id: bytes, proof: bytes, *, now: float) -> bool:
+        """Tell whether the node that sent a call knew its tenant."""
+
     def acquire(self, tenant: str) -> Awaitable[float | None]:
         """Take a token of a tenant; return None, or the seconds after which to come back."""
 
@@ -34,6 +40,14 @@
         """Return the anonymous caller."""
         return ANONYMOUS
 
+    def prove(self, tenant: str, call_id: bytes, *, now: float) -> bytes:
+        """Return no proof."""
+        return b""
+
+    def check_proof(self, tenant: bytes, call_id: bytes, proof: bytes, *, now: float) -> bool:
+        """Return False, since no tenant is known."""
+        return False
+
     async def acquire(self, tenant: str) -> float | None:
         """Return None."""
         return None
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -172,12 +172,14 @@
                 expects_continue = True
             elif name == b"connection" and value not in _USUAL_CONNECTION_VALUES:
                 return read_request_head(
-                    _drop_connection_headers(headers), names, from_node=from_node
+                    _drop_connection_headers(headers, names), names, from_node=from_node
                 )
             continue
         if name == names.credential:
             credentials += (value,)
             continue
+        if b"_" in name and _is_reserved(name.replace(b"_", b"-"), names):
+            continue
         if name.startswith(OWN_HEADER_PREFIX):
             if name == names.attempt_id:
                 attempt_id = value
@@ -226,12 +228,22 @@
     )
 
 
-def _drop_connection_headers(headers: Headers) -> Headers:
+def _is_reserved(name: bytes, names: HeaderNames) -> bool:
+    """Tell whether a header is the credential or has the prefix of ibiswick's own headers.
+
+    Servers with an interface like CGI take underscores for hyphens, so a header with underscores
+    would reach their applications as the one that the node has set.
+    """
+    return name == names.credential or name.startswith(OWN_HEADER_PREFIX)
+
+
+def _drop_connection_headers(headers: Headers, names: HeaderNames) -> Headers:
     """Remove the `Connection` headers and the headers that they name.
 
-    Headers of the framing, `Host` and ibiswick's own headers can't be removed in this way.
+    Headers of the framing, `Host`, the credential and ibiswick's own headers can't be removed in
+    this way.
     """
-    kept = {b"content-length", b"transfer-encoding", b"trailer", b"host"}
+    kept = {b"content-length", b"transfer-encoding", b"trailer", b"host", names.credential}
     named = {b"connection"}
     for name, value in headers:
         if name == b"connection":
@@ -334,7 +346,7 @@
         name, value = item
         if name in dropped:
             if name == b"connection" and value not in _USUAL_CONNECTION_VALUES:
-                return read_response_head(_drop_connection_headers(headers), status, names)
+                return read_response_head(_drop_connection_headers(headers, names), status, names)
         elif name.startswith(OWN_HEADER_PREFIX):
             if name == names.attempt_id:
                 attempt_id = value
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -25,6 +25,7 @@
 )
 from .bodies import MAX_REPLAY_BYTES, RequestBody
 from .callcounts import CallCounts
+from .callers import CallerGate, OpenGate
 from .exchanges import (
     ByteBudget,
     Exchange,
@@ -60,6 +61,8 @@
 REUSE_WITHIN_S = 1.0
 RETRY_AFTER_DRAINING_S = 1.0
 RETRY_AFTER_CONNECT_S = 1.0
+# The nodes may have different versions of the configuration for so long, usually less.
+RETRY_AFTER_PROOF_S = 0.5
 # With less time left before the deadline, a failed connect says nothing about the backend server.
 MIN_CONNECT_TIME_S = 0.05
 DEFAULT_QUEUE_S = 0.05
@@ -97,6 +100,8 @@
     buffer_budget: ByteBudget | None = None
     # Rate of this VM's link, 0 if unknown.
     link_bytes_per_s: int = 0
+    # Checks the proofs of calls that name a tenant.
+    gate: CallerGate = OpenGate()
 
 
 DEFAULT_POLICY = AdmissionPolicy()
@@ -187,6 +192,13 @@
             return build_answer(400, "malformed-request", "the call id is missing")
         if head.trailers:
             return build_answer(501, "trailers-unsupported", "trailers are not supported")
+        if head.tenant and not self._knows_tenant(head):
+            self._counts.add("ibiswick_refused_total", "reason", "tenant-proof")
+            detail = "the proof of the tenant does not match"
+            answer = build_not_run_answer(detail, retry_after_s=RETRY_AFTER_PROOF_S)
+            # Without an expected wait, the refusal would count as a failure of the backend server.
+            wait = (WAIT_HEADER, b"%d" % int(RETRY_AFTER_PROOF_S * 1000))
+            return answer._replace(headers=[*answer.headers, wait])
         if self._policy.requires_instance:
             return self._check_instance(head, waited=False)
         if head.service and head.service != self._service:
@@ -198,6 +210,14 @@
             return build_not_run_answer("this node drains", retry_after_s=RETRY_AFTER_DRAINING_S)
         return None
 
+    def _knows_tenant(self, head: RequestHead) -> bool:
+        """Tell whether the calling node has proved that it knows the tenant that it names."""
+        gate, now = self._policy.gate, self._clock()
+        snapshot = self._board.snapshot.value
+        if snapshot is not None:
+            gate.update(snapshot.tenants, now=now)
+        return gate.check_proof(head.tenant, head.call_id, head.tenant_proof, now=now)
+
     def _check_instance(self, head: RequestHead, *, waited: bool) -> Answer | None:
         """Return a refusal unless the announced backend server accepts the call.
 
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from ..shared.blackboard import Blackboard
+from ..shared.boundedlogs import EventSummary
 from ..shared.errors import (
     ConnectTimeoutError,
     ExchangeError,
@@ -54,6 +55,7 @@
     OUTCOME_REJECTED,
     SERVICE_HEADER,
     TENANT_HEADER,
+    TENANT_PROOF_HEADER,
     TERMS_HEADER,
     WORKSPACE_HEADER,
     HeaderNames,
@@ -290,6 +292,8 @@
         self._splits = Splits(rng=self._rng)
         self._clock = clock or time.monotonic
         self._snapshot: Snapshot | None = None
+        # Wrong credentials may arrive by the thousand.
+        self._unidentified = EventSummary()
         self._endpoints_version = -1
         self._route_table = RouteTable(())
         self._services: dict[str, ServiceState] = {}
@@ -336,23 +340,21 @@
     async def _serve(self, request: ServerRequest) -> None:
         call = await self._prepare_call(request)
         if isinstance(call, Answer):
-            self._counts.add("ibiswick_calls_total", "result", call.code)
-            head = read_request_head(request.headers, self._names)
-            _log.info(
-                "call-refused",
-                id=head.attempt_id.decode("latin-1") or "-",
-                code=call.code,
-                host=normalize_host(head.host),
-                path=request.path,
-                generation=self._snapshot.generation if self._snapshot else 0,
-            )
-            send_answer(request, call)
+            self._send_refusal(request, call)
             return
         # A caller sends a request again if an earlier response closes the connection, so a call
         # that must not run twice waits until the earlier requests there have been answered.
         if self._names.attempt_id and not call.route["idempotent"]:
             await request.wait_turn()
         tenant = call.caller.tenant
+        if tenant:
+            # The credential may have been removed while the body arrived or the call waited.
+            self._apply_updates()
+            call.caller = self._policy.gate.identify(call.head.credentials, call.route)
+            if not call.caller.is_known:
+                self._send_refusal(request, self._refuse_unidentified())
+                return
+            tenant = call.caller.tenant
         if tenant:
             retry_after_s = await self._policy.gate.acquire(tenant)
             if retry_after_s is not None:
@@ -381,6 +383,21 @@
         elapsed_s = self._clock() - call.arrived_at
         self._counts.observe("ibiswick_call_seconds", "result", result, elapsed_s)
 
+    def _send_refusal(self, request: ServerRequest, answer: Answer) -> None:
+        """Send and log a refusal that was decided before the first attempt."""
+        self._counts.add("ibiswick_calls_total", "result", answer.code)
+        if not answer.is_logged:
+            head = read_request_head(request.headers, self._names)
+            _log.info(
+                "call-refused",
+                id=head.attempt_id.decode("latin-1") or "-",
+                code=answer.code,
+                host=normalize_host(head.host),
+                path=request.path,
+                generation=self._snapshot.generation if self._snapshot else 0,
+            )
+        send_answer(request, answer)
+
     # Preparation
 
     async def _prepare_call(self, request: ServerRequest) -> Call | Answer:
@@ -401,6 +418,9 @@
         caller = self._policy.gate.identify(head.credentials, route)
         if not caller.is_known:
             return self._refuse_unidentified()
+        if self._snapshot is not None and self._snapshot.tenants:
+            identity = "tenant" if caller.tenant else "anonymous"
+            self._counts.add("ibiswick_callers_total", "identity", identity)
         # A new snapshot may remove the service while the body arrives.
         service_name = self._splits.choose(route)
         service = self._services[service_name]
@@ -460,10 +480,23 @@
         node does not know it yet.
         """
         if self._policy.is_current():
-            return build_answer(401, "unknown-credential", "a valid credential is needed")
-        self._counts.add("ibiswick_refused_total", "reason", "unconfirmed")
-        detail = "the credential is unknown, and the configuration was not confirmed recently"
-        return self._build_not_run(detail, RETRY_AFTER_UNCONFIRMED_S)
+            identity = "refused"
+            answer = build_answer(401, "unknown-credential", "a valid credential is needed")
+        else:
+            identity = "unconfirmed"
+            self._counts.add("ibiswick_refused_total", "reason", "unconfirmed")
+            detail = "the credential is unknown, and the configuration was not confirmed recently"
+            answer = self._build_not_run(detail, RETRY_AFTER_UNCONFIRMED_S)
+        self._counts.add("ibiswick_callers_total", "identity", identity)
+        count = self._unidentified.note(now=self._clock())
+        if count:
+            _log.info(
+                "callers-refused",
+                code=answer.code,
+                count=count,
+                generation=self._snapshot.generation if self._snapshot else 0,
+            )
+        return answer._replace(is_logged=True)
 
     def _get_max_polls(self, service: ServiceState) -> int:
         is_small = len(service.balancer.states) <= SMALL_SERVICE_ENDPOINTS
@@ -792,7 +825,9 @@
             call.service_name.encode(),
         ]
         if call.caller.tenant:
+            proof = self._policy.gate.prove(call.caller.tenant, call_id, now=now)
             lines += (b"\r\n" + TENANT_HEADER + b": ", call.caller.tenant.encode())
+            lines += (b"\r\n" + TENANT_PROOF_HEADER + b": ", proof)
         if self._names.attempt_id:
             terms = self._build_terms(call, state, now)
             lines += (
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -108,6 +108,7 @@
         self._liveness = LivenessCheck()
         self.counts = CallCounts()
         buffers = build_buffer_budget()
+        self._gate = TenantGate(limiter=NullLimiter())
         self._peer_pool = ConnectionPool(
             idle_limit_s=PEER_IDLE_LIMIT_S,
             unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
@@ -143,7 +144,7 @@
                 names=names,
                 count_nodes=lambda: board.fleet_size.value,
                 is_current=lambda: self.plane.update_source.is_current,
-            )._replace(buffer_budget=buffers, gate=TenantGate(limiter=NullLimiter())),
+            )._replace(buffer_budget=buffers, gate=self._gate),
             caller_service=settings.service,
         )
         self._inbound = Inbound(
@@ -159,7 +160,7 @@
             clock=clock,
             policy=build_admission_policy(
                 names=names, link_bytes_per_s=settings.link_bytes_per_s
-            )._replace(buffer_budget=buffers),
+            )._replace(buffer_budget=buffers, gate=self._gate),
         )
         self._caller_listener = Listener(
             handler=self._outbound,
@@ -242,13 +243,14 @@
         self._backend_pool.close()
 
     async def _follow_configuration(self) -> None:
-        """Start serving once there is a configuration, and apply its limits for callers."""
+        """Start serving once there is a configuration, and apply its limits and tenants."""
         cell = self.board.snapshot
         while True:
             version = cell.version
             snapshot = cell.value
             if snapshot is not None:
                 self._caller_listener.limits = self.board.caller_limits.value
+                self._gate.update(snapshot.tenants, now=self._clock())
                 if self.board.phase.value is Phase.STARTING:
                     self._set_phase(Phase.SERVING)
             await cell.wait_change(version)
--- a/src/ibiswick/_internal/platform/configuration.py
+++ b/src/ibiswick/_internal/platform/configuration.py
@@ -12,6 +12,8 @@
 
 # Kind and name of the object that holds the configuration in effect.
 CONFIGURATION_KEY = "config/main"
+# Field whose parts may hold credentials, also in the wrong place.
+TENANTS_FIELD = "tenants"
 # Backend servers are slow for some seconds after their start.
 SLOW_START_MS = 3000
 # Connections of one node to another; the calls are bounded by the slots of the other node.
@@ -27,7 +29,7 @@
 
 def decode_configuration(value: Any) -> Configuration:
     """Decode a configuration; raise InvalidInputError or SnapshotError if it is invalid."""
-    reader = FieldReader(CONFIGURATION_KEY)
+    reader = FieldReader(CONFIGURATION_KEY, secret_paths=(TENANTS_FIELD,))
     generation = _read_version(reader, value)
     limits = _read_limits(reader, reader.read_table(value, "limits"))
     services = {}
@@ -113,9 +115,13 @@
 def _read_tenants(reader: FieldReader, value: Any) -> list[Tenant]:
     """Read the tenants, and keep only the digests of their keys."""
     tenants = []
-    for entry in reader.read_list(value, "tenants", []):
+    for entry in reader.read_list(value, TENANTS_FIELD, []):
+        name = reader.read_text(entry, "tenants.name")
+        if not name.isprintable() or name != name.strip():
+            # The name is sent in a header, which can't carry it unchanged.
+            reader.add_problem("tenants.name", "printable characters without outer spaces", name)
         tenant = Tenant(
-            name=reader.read_text(entry, "tenants.name"),
+            name=name,
             credentials=sorted(
                 compute_credential_digest(key.encode())
                 for key in reader.read_texts(entry, "tenants.api_keys")
--- a/src/ibiswick/_internal/platform/fields.py
+++ b/src/ibiswick/_internal/platform/fields.py
@@ -32,16 +32,25 @@
     """Read the fields of one document and collect problems.
 
     A field that is missing or has the wrong type is added to the problems and reads as an empty
-    value. `raise_problems` raises InvalidInputError with all of them.
+    value. `raise_problems` raises InvalidInputError with all of them. Problems end up in logs, so
+    they quote no lists and tables, which may hold a secret in the wrong place, and nothing of the
+    fields whose paths begin with one of `secret_paths`.
     """
 
-    def __init__(self, source: str) -> None:
+    def __init__(self, source: str, *, secret_paths: tuple[str, ...] = ()) -> None:
         self._source = source
+        self._secret_paths = secret_paths
         self._problems: list[Problem] = []
 
     def add_problem(self, path: str, expected: str, found: Any) -> None:
         """Add a problem of the document."""
-        text = "nothing" if found is _MISSING else repr(found)[:80]
+        is_secret = path.startswith(self._secret_paths) if self._secret_paths else False
+        if found is _MISSING:
+            text = "nothing"
+        elif is_secret or isinstance(found, (list, dict)):
+            text = f"a value of type {type(found).__name__}"
+        else:
+            text = repr(found)[:80]
         self._problems.append(Problem(self._source, path, expected, text))
 
     def raise_problems(self) -> None:
@@ -110,10 +119,10 @@
         return self._read_field(table, path, list, "a list", default) or []
 
     def read_texts(self, table: Any, path: str) -> list[str]:
-        """Read a list of strings, without naming them in problems, as they may be secret."""
+        """Read a list of strings."""
         texts = self.read_list(table, path)
         if not all(isinstance(text, str) for text in texts):
-            self.add_problem(path, "a list of strings", "another type")
+            self.add_problem(path, "a list of strings", texts)
             return []
         return texts
 
--- a/src/ibiswick/_internal/shared/boundedlogs.py
+++ b/src/ibiswick/_internal/shared/boundedlogs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import time
 from collections.abc import Callable
@@ -61,6 +62,29 @@
         return dropped
 
 
+class EventSummary:
+    """Count the occurrences of an event that is logged at most once per interval.
+
+    >>> summary = EventSummary(interval_s=1.0)
+    >>> [summary.note(now=now) for now in (0.0, 0.1, 0.2, 1.0)]
+    [1, 0, 0, 3]
+    """
+
+    def __init__(self, *, interval_s: float = 1.0) -> None:
+        self._interval_s = interval_s
+        self._next_at = -math.inf
+        self._count = 0
+
+    def note(self, *, now: float) -> int:
+        """Count one occurrence; return the number to log, or 0 if no line is due."""
+        self._count += 1
+        if now < self._next_at:
+            return 0
+        self._next_at = now + self._interval_s
+        count, self._count = self._count, 0
+        return count
+
+
 class NonBlockingHandler(logbook.Handler):
     """Write lines to a file descriptor; drop a line that can't be written immediately."""
 
--- a/src/ibiswick/_internal/tenants/gate.py
+++ b/src/ibiswick/_internal/tenants/gate.py
@@ -7,6 +7,7 @@
 
 from ..shared.records import ANONYMOUS, DEFAULT_WEIGHT, Caller, Route, Tenant
 from .credentials import CredentialTable
+from .proofs import ProofTable
 
 UNKNOWN = Caller(is_known=False)
 
@@ -43,21 +44,25 @@
 
     def __init__(self, *, limiter: Limiter) -> None:
         self._limiter = limiter
+        self._tenants: tuple[Tenant, ...] = ()
         self._table = CredentialTable()
-        self._needs_credentials = False
+        self._proofs = ProofTable()
         self._mean_rate = DEFAULT_WEIGHT
 
     def update(self, tenants: tuple[Tenant, ...], *, now: float) -> None:
-        """Apply the tenants of a new snapshot."""
+        """Apply the tenants of a new snapshot; without effect if they are in force already."""
+        if tenants is self._tenants:
+            return
+        self._tenants = tenants
         self._table = CredentialTable(tenants)
-        self._needs_credentials = bool(tenants)
+        self._proofs.update(tenants, now=now)
         rates = [tenant["rate"] for tenant in tenants if tenant.get("rate")]
         self._mean_rate = sum(rates) / len(rates) if rates else DEFAULT_WEIGHT
         self._limiter.update(tenants, now=now)
 
     def identify(self, credentials: Sequence[bytes], route: Route) -> Caller:
         """Identify a caller by the values of its credential headers."""
-        if not self._needs_credentials:
+        if not self._tenants:
             return ANONYMOUS
         tenant = self._table.find(credentials)
         if tenant is None:
@@ -65,6 +70,14 @@
         weight = tenant.get("rate") or self._mean_rate
         return Caller(tenant["name"], tenant.get("priority"), weight)
 
+    def prove(self, tenant: str, call_id: bytes, *, now: float) -> bytes:
+        """Return the proof that this node knows the tenant of a call."""
+        return self._proofs.prove(tenant, call_id, now=now)
+
+    def check_proof(self, tenant: bytes, call_id: bytes, proof: bytes, *, now: float) -> bool:
+        """Tell whether the node that sent a call knew its tenant."""
+        return self._proofs.check(tenant, call_id, proof, now=now)
+
     def acquire(self, tenant: str) -> Awaitable[float | None]:
         """Take a token of a tenant; return None, or the seconds after which to come back."""
         return self._limiter.acquire(tenant)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,12 +10,14 @@
 from ibiswick._internal.direct.members import NodeRecord
 from ibiswick._internal.direct.settings import DirectSettings
 from ibiswick._internal.model.loads import ChildCall, Kind, Load, Service, Zone
+from ibiswick._internal.shared.digests import compute_credential_digest
 from ibiswick._internal.shared.records import (
     Endpoint,
     Member,
     MemberState,
     Route,
     ServicePolicy,
+    Tenant,
 )
 from ibiswick._internal.shared.settings import Address
 
@@ -47,6 +49,14 @@
     return route
 
 
+def build_tenant(name: str = "acme", *keys: str, **changes: Any) -> Tenant:
+    """Build a tenant with the digests of its credentials, one by default."""
+    digests = [compute_credential_digest(key.encode()) for key in keys or (f"key-of-{name}",)]
+    tenant = Tenant(name=name, credentials=sorted(digests))
+    tenant.update(changes)  # type: ignore[typeddict-item]
+    return tenant
+
+
 def build_member(**changes: Any) -> Member:
     """Build the member record of one backend server."""
     member = Member(
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -392,12 +392,21 @@
         return client
 
     async def call(
-        self, index: int, path: str, attempt: str, *, method: str = "GET", body: bytes = b""
+        self,
+        index: int,
+        path: str,
+        attempt: str,
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        headers: str = "",
     ) -> Client:
         """Make one call through a node and wait for its end."""
         client = await self.connect(self.nodes[index].settings.caller.port)
         assert client is not None
-        client.transport.write(build_request(path, attempt, method=method, body=body))
+        client.transport.write(
+            build_request(path, attempt, method=method, body=body, headers=headers)
+        )
         await client.done
         client.transport.close()
         return client
@@ -408,13 +417,19 @@
 
 
 def build_request(
-    path: str, attempt: str, *, method: str = "GET", body: bytes = b"", deadline_ms: int = 1000
+    path: str,
+    attempt: str,
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    deadline_ms: int = 1000,
+    headers: str = "",
 ) -> bytes:
     """Build a request as a caller sends it."""
     length = f"Content-Length: {len(body)}\r\n" if body or method == "POST" else ""
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nIbiswick-Attempt-Id: {attempt}\r\n"
         f"Ibiswick-Deadline-Ms: {deadline_ms}\r\n"
-        f"Ibiswick-Caller-Service: forged\r\n{length}\r\n"
+        f"Ibiswick-Caller-Service: forged\r\n{headers}{length}\r\n"
     )
     return head.encode() + body
--- a/tests/platform_documents.py
+++ b/tests/platform_documents.py
@@ -97,6 +97,11 @@
     return document
 
 
+def build_tenant_entry(name: str, *keys: str, **changes: Any) -> dict[str, Any]:
+    """Build the entry of a tenant in a configuration."""
+    return {"name": name, "api_keys": list(keys)} | changes
+
+
 def build_heartbeat_body(**changes: Any) -> dict[str, Any]:
     """Build the body of a heartbeat."""
     body = {
