Share the slots of a backend server between tenants

Cause: among calls of equal priority the queue was first come, first served, so one tenant's surge took the slots of the others, and strict priorities could leave a tenant or kind of call without slots.

The slot queue sorts by priority, virtual start and arrival; waits count only calls that go first; the call in the last place is displaced. ibiswick-tenant-weight carries the weight between nodes. With tenants, calls made by running calls have the priority of the running call.

--- a/src/ibiswick/_internal/calls/admission.py
+++ b/src/ibiswick/_internal/calls/admission.py
@@ -6,6 +6,9 @@
 from bisect import insort
 from typing import NamedTuple
 
+from ..shared.records import DEFAULT_WEIGHT
+from ..tenants.shares import FairClock, ShareFloor
+
 QUEUE_LENGTH_PER_SLOT = 2
 # Weight of the newest call in the mean duration of calls.
 DURATION_WEIGHT = 0.1
@@ -24,6 +27,10 @@
 # Share of the time to its target that a call may wait even if it will probably be late, which keeps
 # the slots busy.
 MIN_WAIT_SHARE = 0.15
+# Priority of calls of a tenant or route that is served too rarely; routes have none below 0.
+FLOOR_PRIORITY = -1
+# The order by shares ends this long after the last call with a tenant.
+SHARES_IDLE_S = 10.0
 
 
 class Admitted(NamedTuple):
@@ -53,7 +60,8 @@
 
     A smaller `priority` goes first. A response after `target` is worth less, so a call waits only
     while it will most probably meet its target; without one it may wait up to its deadline.
-    `max_slot_wait_s` is the longest wait that the caller's node accepts.
+    `max_slot_wait_s` is the longest wait that the caller's node accepts. Calls of equal priority go
+    in the order of their tenants' shares, which are proportional to `tenant_weight`.
     """
 
     deadline: float | None = None
@@ -61,15 +69,26 @@
     priority: int = 0
     target: float | None = None
     max_slot_wait_s: float | None = None
+    tenant: str = ""
+    tenant_weight: float = DEFAULT_WEIGHT
 
 
-class _WaitingCall(NamedTuple):
-    """Hold a waiting call; tuples sort by priority, then by arrival."""
+class _Order(NamedTuple):
+    """Hold the place of a call in the queue; without tenants, all virtual starts are 0."""
 
     priority: int
+    virtual_start: float
+
+
+class _WaitingCall(NamedTuple):
+    """Hold a waiting call; tuples sort by priority, virtual start and arrival."""
+
+    order: _Order
     ticket: int
     expires_at: float
     slot_request: SlotRequest
+    # What the tenant was charged.
+    virtual_length: float
 
 
 class SlotQueue:
@@ -100,6 +119,10 @@
         self._mean_duration_s = INITIAL_DURATION_S
         self._observed_calls = 0
         self._mean_durations_by_route: dict[str, float] = {}
+        self._clock = FairClock()
+        self._floor = ShareFloor()
+        # When the order by shares ends; calls with tenants extend it.
+        self._shares_until = -math.inf
 
     @property
     def queued(self) -> int:
@@ -115,25 +138,58 @@
             self._mean_duration_s = max(
                 self._mean_duration_s, self._estimate_slot_duration(now, slot_request)
             )
+        if slot_request.tenant:
+            self._shares_until = now + SHARES_IDLE_S
         refused = self.find_refusal(now=now, slot_request=slot_request)
         if refused is not None:
+            self.note_refusal(slot_request, now=now)
             return refused
+        order = self._find_order(now, slot_request)
         if self.busy < self.slots and not self._waiting:
-            self._take_slot(now)
+            length = self._compute_virtual_length(slot_request)
+            self._clock.charge(slot_request.tenant, length, now=now)
+            self._take_slot(now, slot_request, length)
             return Admitted()
         displaced = None
         if len(self._waiting) >= self._length_per_slot * self.slots:
-            displaced = self._displace_least_urgent(slot_request.priority)
+            displaced = self._displace_last(order, now)
             if displaced is None:
+                self.note_refusal(slot_request, now=now)
                 return Refused("queue-full", self.estimate_wait(now=now))
         self._next_ticket += 1
         expires_at = self._compute_wait_limit(now, slot_request)
+        length = self._compute_virtual_length(slot_request)
+        self._clock.charge(slot_request.tenant, length, now=now)
         insort(
             self._waiting,
-            _WaitingCall(slot_request.priority, self._next_ticket, expires_at, slot_request),
+            _WaitingCall(order, self._next_ticket, expires_at, slot_request, length),
         )
         return Queued(self._next_ticket, expires_at, displaced)
 
+    def _find_order(self, now: float, slot_request: SlotRequest) -> _Order:
+        """Return the place that a call would get in the queue."""
+        if now >= self._shares_until:
+            return _Order(slot_request.priority, 0.0)
+        length = self._compute_virtual_length(slot_request)
+        start = self._clock.find_start(slot_request.tenant, length, now=now)
+        if self._floor.is_below(_list_floor_keys(slot_request), now=now):
+            return _Order(FLOOR_PRIORITY, start)
+        return _Order(slot_request.priority, start)
+
+    def _compute_virtual_length(self, slot_request: SlotRequest) -> float:
+        return self.estimate_duration(slot_request.route_id) / slot_request.tenant_weight
+
+    def note_refusal(self, slot_request: SlotRequest, *, now: float) -> None:
+        """Count a call that gets no slot, unless its caller's node will ask another node."""
+        if slot_request.max_slot_wait_s is None and now < self._shares_until:
+            self._floor.note(_list_floor_keys(slot_request), served=False, now=now)
+
+    def _drop(self, waiting: _WaitingCall, now: float | None) -> None:
+        """Settle the account of a call that leaves the queue without a slot."""
+        self._clock.refund(waiting.slot_request.tenant, waiting.virtual_length)
+        if now is not None:
+            self.note_refusal(waiting.slot_request, now=now)
+
     def find_refusal(
         self,
         *,
@@ -163,7 +219,9 @@
         wait_s = 0.0
         if not is_free:
             wait_s = self.estimate_wait(
-                now=now, priority=slot_request.priority, receiving_bodies=receiving_bodies
+                now=now,
+                order=self._find_order(now, slot_request),
+                receiving_bodies=receiving_bodies,
             )
         wait_s = max(wait_s, turn_wait_s or 0.0)
         if slot_request.max_slot_wait_s is not None and wait_s > slot_request.max_slot_wait_s:
@@ -204,11 +262,13 @@
             return self._mean_duration_s
         return max(self._mean_duration_s, GUESSED_DURATION_SHARE * (slot_request.target - now))
 
-    def _displace_least_urgent(self, priority: int) -> int | None:
-        """Remove the last call of the queue if it is less urgent than the new one."""
-        if not self._waiting or self._waiting[-1].priority <= priority:
+    def _displace_last(self, order: _Order, now: float) -> int | None:
+        """Remove the last call of the queue if the new one goes before it."""
+        if not self._waiting or self._waiting[-1].order <= order:
             return None
-        return self._waiting.pop().ticket
+        displaced = self._waiting.pop()
+        self._drop(displaced, now)
+        return displaced.ticket
 
     def release(
         self,
@@ -228,13 +288,20 @@
         if not self.busy:
             # Rounding errors must not accumulate.
             self._start_times_sum = 0.0
+            if not self._waiting:
+                self._clock.reset()
         if reached_backend and duration_s > 0:
             self._note_duration(duration_s, route_id)
         return self.admit(now=now)
 
-    def _take_slot(self, now: float) -> None:
+    def _take_slot(self, now: float, slot_request: SlotRequest, virtual_length: float) -> None:
         self.busy += 1
         self._start_times_sum += now
+        self._clock.advance(
+            slot_request.tenant, slot_request.tenant_weight, virtual_length, now=now
+        )
+        if now < self._shares_until:
+            self._floor.note(_list_floor_keys(slot_request), served=True, now=now)
 
     def _note_duration(self, duration_s: float, route_id: str) -> None:
         self._observed_calls += 1
@@ -258,7 +325,7 @@
         kept = []
         for waiting in self._waiting:
             if self.busy < self.slots and self._compute_latest_start(waiting, now) > now:
-                self._take_slot(now)
+                self._take_slot(now, waiting.slot_request, waiting.virtual_length)
                 granted.append(waiting.ticket)
             else:
                 kept.append(waiting)
@@ -274,6 +341,7 @@
             start = now + (len(kept) + 1) * step_s
             if start > self._compute_latest_start(waiting, now):
                 expired.append(waiting.ticket)
+                self._drop(waiting, now)
             else:
                 kept.append(waiting)
         self._waiting = kept
@@ -283,11 +351,15 @@
         """Return the latest useful start of a call, by the present estimate for its route."""
         return min(waiting.expires_at, self._compute_wait_limit(now, waiting.slot_request))
 
-    def withdraw(self, ticket: int) -> bool:
-        """Remove a waiting call; return False if it already has a slot."""
+    def withdraw(self, ticket: int, *, now: float | None = None) -> bool:
+        """Remove a waiting call; return False if it already has a slot.
+
+        With `now`, the call counts as one that got no slot.
+        """
         for index, waiting in enumerate(self._waiting):
             if waiting.ticket == ticket:
                 del self._waiting[index]
+                self._drop(waiting, now)
                 return True
         return False
 
@@ -300,16 +372,16 @@
         return self._mean_durations_by_route.get(route_id, self._mean_duration_s)
 
     def estimate_wait(
-        self, *, now: float, priority: int | None = None, receiving_bodies: int = 0
+        self, *, now: float, order: _Order | None = None, receiving_bodies: int = 0
     ) -> float:
-        """Return the expected seconds until a new call gets a slot.
+        """Return the expected seconds until a new call gets a slot; with `order`, at that place.
 
         Calls that have held their slots for longer than usual raise the estimate, since they show
         that a backend server has become slow before any of them ends.
         """
         ahead = len(self._waiting)
-        if priority is not None:
-            ahead = sum(1 for waiting in self._waiting if waiting.priority <= priority)
+        if order is not None:
+            ahead = sum(1 for waiting in self._waiting if waiting.order <= order)
         return (
             (ahead + receiving_bodies + 1)
             * self._estimate_current_duration(now)
@@ -323,6 +395,16 @@
         return max(self._mean_duration_s, now - self._start_times_sum / self.busy)
 
 
+def _list_floor_keys(slot_request: SlotRequest) -> list[str]:
+    """Return the keys by which the served share of a call's tenant and route is counted."""
+    keys = []
+    if slot_request.tenant:
+        keys.append(f"tenant {slot_request.tenant}")
+    if slot_request.route_id:
+        keys.append(f"route {slot_request.route_id}")
+    return keys
+
+
 def format_retry_after(seconds: float, *, fractions: bool = False) -> bytes:
     """Return the value of a `Retry-After` header, in whole seconds unless fractions are taken.
 
--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from ..shared.records import DEFAULT_WEIGHT
 from .bodies import RequestBody
 from .exchanges import Headers
 
@@ -15,6 +16,9 @@
 TENANT_HEADER = b"ibiswick-tenant"
 # Proof that the caller's node knows the credentials of the tenant.
 TENANT_PROOF_HEADER = b"ibiswick-tenant-proof"
+# Share of the tenant where calls wait for slots, relative to those of other tenants.
+TENANT_WEIGHT_HEADER = b"ibiswick-tenant-weight"
+MAX_WEIGHT_DIGITS = 9
 WORKSPACE_HEADER = b"ibiswick-workspace"
 SERVICE_HEADER = b"ibiswick-service"
 # How the call may use the slots of the called node; see `Terms`.
@@ -146,6 +150,7 @@
     # Of the caller, as its node states them; empty in requests that come from callers.
     tenant: bytes = b""
     tenant_proof: bytes = b""
+    tenant_weight: float = DEFAULT_WEIGHT
 
 
 def read_request_head(
@@ -156,6 +161,7 @@
     credentials: tuple[bytes, ...] = ()
     host_count = 0
     link_bytes_per_s = 0
+    tenant_weight = DEFAULT_WEIGHT
     length = deadline_ms = None
     chunked = trailers = expects_continue = False
     dropped = _DROPPED_REQUEST_HEADERS
@@ -200,6 +206,8 @@
                 tenant = value
             elif name == TENANT_PROOF_HEADER and from_node:
                 tenant_proof = value
+            elif name == TENANT_WEIGHT_HEADER and from_node:
+                tenant_weight = parse_weight(value)
             elif name == LINK_HEADER and value.isdigit():
                 link_bytes_per_s = int(value[:MAX_LINK_RATE_DIGITS])
             continue
@@ -225,6 +233,7 @@
         credentials,
         tenant,
         tenant_proof,
+        tenant_weight,
     )
 
 
@@ -256,6 +265,25 @@
     ]
 
 
+def parse_weight(value: bytes) -> float:
+    """Return the weight of a tenant, the default one if it is malformed.
+
+    >>> parse_weight(b"450"), parse_weight(b"0"), parse_weight(b"-1"), parse_weight(b"9" * 12)
+    (450.0, 1.0, 1.0, 1.0)
+    """
+    is_valid = value.isdigit() and len(value) <= MAX_WEIGHT_DIGITS
+    return float(value) if is_valid and int(value) else DEFAULT_WEIGHT
+
+
+def format_weight(weight: float) -> bytes:
+    """Format the weight of a tenant as a whole number.
+
+    >>> format_weight(449), format_weight(0.2)
+    (b'449', b'1')
+    """
+    return b"%d" % min(max(1, round(weight)), 10**MAX_WEIGHT_DIGITS - 1)
+
+
 def parse_milliseconds(value: bytes) -> int | None:
     """Return the milliseconds in a header, or None if it is not a number.
 
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -363,6 +363,7 @@
             now=now, slot_request=slot_request, receives_body=True, turn_wait_s=turn_s
         )
         if refused is not None:
+            self._queue.note_refusal(slot_request, now=now)
             return refused
         limit_s = (
             self._upload_idle_s if slot_request.deadline is None else slot_request.deadline - now
@@ -453,7 +454,7 @@
 
     def _end_slot_wait(self, ticket: int) -> None:
         """Refuse a call that got no slot in time."""
-        self._queue.withdraw(ticket)
+        self._queue.withdraw(ticket, now=self._clock())
         self._refuse_waiter(ticket)
 
     def _refuse_waiter(self, ticket: int) -> None:
@@ -677,9 +678,18 @@
 
 def build_slot_request(head: RequestHead, *, now: float, deadline: float | None) -> SlotRequest:
     """Build the slot request from a call's terms, whose times count from its arrival, `now`."""
+    tenant = head.tenant.decode(errors="replace")
     if not head.terms:
-        return SlotRequest(deadline)
+        return SlotRequest(deadline, tenant=tenant, tenant_weight=head.tenant_weight)
     terms = parse_terms(head.terms)
     target = None if terms.target_ms is None else now + terms.target_ms / 1000
     max_slot_wait_s = None if terms.max_wait_ms is None else terms.max_wait_ms / 1000
-    return SlotRequest(deadline, terms.kind, terms.priority, target, max_slot_wait_s)
+    return SlotRequest(
+        deadline,
+        terms.kind,
+        terms.priority,
+        target,
+        max_slot_wait_s,
+        tenant,
+        head.tenant_weight,
+    )
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -56,6 +56,7 @@
     SERVICE_HEADER,
     TENANT_HEADER,
     TENANT_PROOF_HEADER,
+    TENANT_WEIGHT_HEADER,
     TERMS_HEADER,
     WORKSPACE_HEADER,
     HeaderNames,
@@ -63,6 +64,7 @@
     ResponseHead,
     Terms,
     format_terms,
+    format_weight,
     normalize_host,
     parse_retry_after_s,
     read_request_head,
@@ -828,6 +830,8 @@
             proof = self._policy.gate.prove(call.caller.tenant, call_id, now=now)
             lines += (b"\r\n" + TENANT_HEADER + b": ", call.caller.tenant.encode())
             lines += (b"\r\n" + TENANT_PROOF_HEADER + b": ", proof)
+            weight = format_weight(call.caller.weight)
+            lines += (b"\r\n" + TENANT_WEIGHT_HEADER + b": ", weight)
         if self._names.attempt_id:
             terms = self._build_terms(call, state, now)
             lines += (
@@ -835,6 +839,9 @@
                 b"\r\n" + TERMS_HEADER + b": ",
                 format_terms(terms),
             )
+        elif call.caller.priority is not None:
+            terms = Terms(priority=call.caller.priority)
+            lines += (b"\r\n" + TERMS_HEADER + b": ", format_terms(terms))
         if deadline is not None:
             remaining_ms = compute_next_hop_timeout_ms(now=now, deadline=deadline)
             lines += (b"\r\n" + DEADLINE_HEADER + b": ", b"%d" % remaining_ms)
@@ -876,8 +883,10 @@
         parent_priority = self._find_parent_priority(call)
         if parent_priority is not None:
             # A call made by a running call is as urgent as that one, and has no target: without its
-            # response, however late, the work of the running call is lost.
-            priority = max(priority, parent_priority)
+            # response, however late, the work of the running call is lost. The priority of a tenant
+            # also replaces that of the routes of such calls.
+            has_tenants = self._snapshot is not None and bool(self._snapshot.tenants)
+            priority = parent_priority if has_tenants else max(priority, parent_priority)
             target_ms = None
         return Terms(route["id"], priority, target_ms, max_slot_wait_ms)
 
