Define tenants in templates and workspaces

Cause: the product's own mode had no way to define tenants, and its nodes asked for no credential.

Change: templates and workspaces define tenants with digests of credentials, priority, rate and burst, and routes may be anonymous; compiler, differences and the audit trail carry them. `ibiswickctl digest` prints the digest of a credential from standard input. A digest has the prefix blake2b:, and errors about tenants name types only, so that a credential in place of its digest is not kept. `ibiswickctl diff` refuses tenants that are not valid. Nodes ask for ibiswick-credential; limits are not enforced in this mode.

--- a/src/ibiswick/_internal/calls/dataplane.py
+++ b/src/ibiswick/_internal/calls/dataplane.py
@@ -17,10 +17,12 @@
 from ..shared.records import BackendHealth, Phase
 from ..shared.settings import NodeSettings
 from ..shared.tls import build_client_context, build_server_context, parse_identity
+from ..tenants.gate import NullLimiter, TenantGate
 from .callcounts import CallCounts
 from .exchanges import ExchangeLimits, Remote, Request
-from .inbound import Inbound
-from .outbound import Outbound
+from .heads import TENANT_HEADER, HeaderNames
+from .inbound import AdmissionPolicy, Inbound
+from .outbound import CallPolicy, Outbound
 from .pool import ConnectionPool, PoolFetch
 from .serving import Listener, ServerRequest
 
@@ -32,6 +34,7 @@
 # Common HTTP servers close idle connections after 5 s.
 BACKEND_IDLE_LIMIT_S = 4.0
 PLATFORM_IDLE_LIMIT_S = 4.0
+HEADER_NAMES = HeaderNames(credential=b"ibiswick-credential", tenant=TENANT_HEADER)
 # A node whose announcement can't be confirmed must still be able to stop.
 LEAVE_ANNOUNCE_TIMEOUT_S = 10.0
 
@@ -115,6 +118,8 @@
         )
         self.fetch = PoolFetch(pool=self._platform, base_url=settings.platform.url)
         self._backend_server = Remote(settings.backend_server.host, settings.backend_server.port)
+        # Limits of tenants are not enforced in this mode.
+        self._gate = TenantGate(limiter=NullLimiter())
         self._outbound = Outbound(
             workspace=settings.workspace,
             availability_zone=settings.availability_zone,
@@ -123,6 +128,7 @@
             counts=self._counts,
             upload_idle_s=settings.upload_idle_s,
             rng=rng or random.Random(),
+            policy=CallPolicy(names=HEADER_NAMES, gate=self._gate),
         )
         self._inbound = Inbound(
             workspace=settings.workspace,
@@ -134,6 +140,7 @@
             counts=self._counts,
             watcher=self._watcher,
             upload_idle_s=settings.upload_idle_s,
+            policy=AdmissionPolicy(names=HEADER_NAMES, gate=self._gate),
         )
         self._caller = Listener(
             handler=self._outbound,
@@ -187,6 +194,7 @@
             asyncio.create_task(self._watch_backend()),
             asyncio.create_task(self._follow_floor()),
             asyncio.create_task(self._follow_drain()),
+            asyncio.create_task(self._follow_tenants()),
         ]
 
     async def stop(self) -> None:
@@ -217,6 +225,15 @@
         if self._board.phase.value is Phase.STARTING:
             self._set_phase(Phase.SERVING)
 
+    async def _follow_tenants(self) -> None:
+        """Apply the tenants of each snapshot at once, as earlier proofs expire from then on."""
+        cell = self._board.snapshot
+        while True:
+            version = cell.version
+            if cell.value is not None:
+                self._gate.update(cell.value.tenants, now=time.monotonic())
+            await cell.wait_change(version)
+
     async def _follow_drain(self) -> None:
         """Drain on request: refuse new calls, finish those in flight, then stop."""
         drain = self._board.drain_requested
--- a/src/ibiswick/_internal/commands/ctl.py
+++ b/src/ibiswick/_internal/commands/ctl.py
@@ -11,6 +11,7 @@
 from .ctl_apply import apply
 from .ctl_audit import audit
 from .ctl_diff import diff
+from .ctl_digest import digest
 from .ctl_drain import drain
 from .ctl_explain import explain
 from .ctl_history import history
@@ -33,6 +34,7 @@
     drain,
     rollback,
     explain,
+    digest,
 )
 
 app = cyclopts.App(name="ibiswickctl", help=__doc__, help_format="plaintext", version_flags=())
--- a/src/ibiswick/_internal/commands/ctl_diff.py
+++ b/src/ibiswick/_internal/commands/ctl_diff.py
@@ -10,11 +10,14 @@
 from ..administration.api_client import ApiClient
 from ..administration.documents import (
     DocumentDifference,
+    Documents,
     compare_documents,
     format_difference,
     read_documents,
     write_base,
 )
+from ..configuration.schemas import check_document
+from ..shared.errors import InvalidInputError
 from .ctl_apply import read_current_digests
 from .ctl_support import ExitCode, Options, open_client, print_json, run_command
 
@@ -41,6 +44,7 @@
 
     async def execute() -> ExitCode:
         documents = read_documents(directory)
+        check_tenants(documents)
         async with open_client(options) as client:
             generation, current = await read_current_digests(client)
             differences = compare_documents(documents, current, prune=prune)
@@ -59,6 +63,18 @@
     return await run_command(execute, as_json=options.json)
 
 
+def check_tenants(documents: Documents) -> None:
+    """Raise InvalidInputError if tenants are not valid, since they may hold a credential."""
+    problems = [
+        problem
+        for key, document in documents.items()
+        if "tenants" in document
+        for problem in check_document(key.kind, key.name, document)
+    ]
+    if problems:
+        raise InvalidInputError(problems)
+
+
 async def _describe_difference(client: ApiClient, difference: DocumentDifference) -> dict[str, Any]:
     key = difference.key
     current = await client.read_document(key.kind, key.name) if difference.base else None
--- a/src/ibiswick/_internal/configuration/compiler.py
+++ b/src/ibiswick/_internal/configuration/compiler.py
@@ -1,4 +1,4 @@
-"""Compile a workspace and its templates into services and routes."""
+"""Compile a workspace and its templates into services, routes and tenants."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 from typing import Any, NamedTuple
 
 from ..shared.errors import InvalidInputError, Problem
-from ..shared.records import Route, ServicePolicy
-from .schemas import build_source_path, check_document, check_value
+from ..shared.records import Route, ServicePolicy, Tenant
+from .schemas import CREDENTIAL_PREFIX, build_source_path, check_document, check_value
 from .templates import (
     Definition,
     Document,
@@ -37,10 +37,11 @@
 
 
 class CompiledWorkspace(NamedTuple):
-    """Hold the services and routes of one workspace; routes are sorted by id."""
+    """Hold the services, routes and tenants of one workspace, sorted by name or id."""
 
     services: dict[str, ServicePolicy]
     routes: tuple[Route, ...]
+    tenants: tuple[Tenant, ...] = ()
 
 
 def compile_workspace(
@@ -67,14 +68,16 @@
     Raises InvalidInputError.
     """
     problems: list[Problem] = []
-    services, routes = _expand(name, workspace, templates, problems)
+    services, routes, tenants = _expand(name, workspace, templates, problems)
     compiled_services = _collect_services(services, problems)
     compiled_routes = _collect_routes(routes, compiled_services, problems)
+    compiled_tenants = _collect_tenants(tenants, problems)
     if problems:
         raise InvalidInputError(list(dict.fromkeys(problems)))
     return CompiledWorkspace(
         {key: compiled_services[key] for key in sorted(compiled_services)},
         tuple(compiled_routes[key] for key in sorted(compiled_routes)),
+        tuple(compiled_tenants[key] for key in sorted(compiled_tenants)),
     )
 
 
@@ -118,9 +121,9 @@
 def _expand(
     name: str, workspace: Document, templates: Documents, problems: list[Problem]
 ) -> RenderedDefinitions:
-    """Render every use of a template and add the workspace's own services and routes."""
+    """Render every use of a template and add the workspace's own definitions."""
     source = build_source_path("workspace", name)
-    expanded = RenderedDefinitions([], [])
+    expanded = RenderedDefinitions([], [], [])
     resolved: dict[str, Template | None] = {}
     for index, use in enumerate(workspace.get("templates", ())):
         path = f"$.templates[{index}]"
@@ -141,10 +144,11 @@
         rendered = render_template(template, values)
         expanded.services.extend(rendered.services)
         expanded.routes.extend(rendered.routes)
-        if max(len(expanded.routes), len(expanded.services)) > MAX_ROUTES:
-            expected = f"at most {MAX_ROUTES} services and routes"
+        expanded.tenants.extend(rendered.tenants)
+        if max(map(len, expanded)) > MAX_ROUTES:
+            expected = f"at most {MAX_ROUTES} services, routes or tenants"
             problems.append(Problem(source, path, expected, "more"))
-            return RenderedDefinitions([], [])
+            return RenderedDefinitions([], [], [])
     expanded.services.extend(
         Definition(source, f"$.services.{key}", key, policy)
         for key, policy in workspace.get("services", {}).items()
@@ -153,6 +157,10 @@
         Definition(source, f"$.routes[{index}]", route["id"], route)
         for index, route in enumerate(workspace.get("routes", ()))
     )
+    expanded.tenants.extend(
+        Definition(source, f"$.tenants.{key}", key, fields)
+        for key, fields in workspace.get("tenants", {}).items()
+    )
     return expanded
 
 
@@ -200,6 +208,9 @@
             problems += found_problems
             continue
         route["methods"] = sorted(route["methods"])
+        if not route.get("anonymous"):
+            # Routes keep the digests that they had before this field.
+            route.pop("anonymous", None)
         problems += _check_route(item, route, services)
         if routes.setdefault(route["id"], route) is not route:
             path = f"{item.path}.id"
@@ -211,6 +222,32 @@
     return routes
 
 
+def _collect_tenants(items: Iterable[Definition], problems: list[Problem]) -> dict[str, Tenant]:
+    tenants: dict[str, Tenant] = {}
+    names_by_digest: dict[str, str] = {}
+    for item in items:
+        found_problems = check_value("tenant", item.value, source=item.source, path=item.path)
+        if "burst" in item.value and "rate" not in item.value:
+            found_problems.append(Problem(item.source, item.path, "a rate for the burst", "none"))
+        if found_problems:
+            problems += found_problems
+            continue
+        tenant: Any = {"name": item.name, **item.value}
+        tenant["credentials"] = sorted(
+            digest.removeprefix(CREDENTIAL_PREFIX) for digest in item.value["credentials"]
+        )
+        # Several templates may define the same tenant, but only equally.
+        if tenants.setdefault(item.name, tenant) != tenant:
+            expected = f"one definition of tenant {item.name}"
+            problems.append(Problem(item.source, item.path, expected, "another one that differs"))
+        for digest in tenant["credentials"]:
+            other = names_by_digest.setdefault(digest, item.name)
+            if other != item.name:
+                expected = "credentials of one tenant only"
+                problems.append(Problem(item.source, item.path, expected, f"one of {other}"))
+    return tenants
+
+
 def _check_route(
     item: Definition, route: Route, services: dict[str, ServicePolicy]
 ) -> list[Problem]:
--- a/src/ibiswick/_internal/configuration/plans.py
+++ b/src/ibiswick/_internal/configuration/plans.py
@@ -154,7 +154,7 @@
 
 
 def compare_values(document: str, before: Any, after: Any, path: str = "$") -> list[Difference]:
-    """Return the places where two values differ; match routes by their ids.
+    """Return the places where two values differ; match routes by ids and tenants by names.
 
     >>> compare_values("w", {"a": 1, "b": [2]}, {"a": 1, "b": [3]})
     [Difference(document='w', path='$.b[0]', before=2, after=3)]
@@ -299,7 +299,11 @@
 
 def _build_named_snapshot(name: str, compiled: CompiledWorkspace, generation: int) -> Snapshot:
     return build_snapshot(
-        workspace=name, generation=generation, services=compiled.services, routes=compiled.routes
+        workspace=name,
+        generation=generation,
+        services=compiled.services,
+        routes=compiled.routes,
+        tenants=compiled.tenants,
     )
 
 
@@ -388,7 +392,7 @@
         return [(f".{key}", before.get(key), after.get(key)) for key in keys]
     if not isinstance(before, list | tuple) or not isinstance(after, list | tuple):
         return None
-    old, new = _index_routes(before), _index_routes(after)
+    old, new = _index_members(before), _index_members(after)
     if old is not None and new is not None:
         return [(f"[{key}]", old.get(key), new.get(key)) for key in sorted(old.keys() | new.keys())]
     length = max(len(before), len(after))
@@ -397,10 +401,13 @@
     ]
 
 
-def _index_routes(values: Iterable[Any]) -> dict[str, Any] | None:
-    if not all(isinstance(value, dict) and "id" in value for value in values):
+def _index_members(values: Iterable[Any]) -> dict[str, Any] | None:
+    if not all(isinstance(value, dict) for value in values):
         return None
-    return {value["id"]: value for value in values}
+    for key in ("id", "name"):
+        if all(key in value for value in values):
+            return {value[key]: value for value in values}
+    return None
 
 
 def _get_item(values: Any, index: int) -> Any:
--- a/src/ibiswick/_internal/configuration/schemas.py
+++ b/src/ibiswick/_internal/configuration/schemas.py
@@ -20,11 +20,19 @@
 _METHOD_PATTERN = r"^[A-Z]{1,32}\Z"
 _PLACEHOLDER_PATTERN = r"\$\{"
 
+# The prefix tells a digest from a credential that consists of hexadecimal digits.
+CREDENTIAL_PREFIX = "blake2b:"
+_CREDENTIAL_PATTERN = rf"^{CREDENTIAL_PREFIX}[0-9a-f]{{32}}\Z"
+
 MAX_TEXT_CHARS = 4096
 MAX_TEMPLATE_USES = 1000
 MAX_DURATION_MS = 24 * 60 * 60 * 1000
 # A call that certainly did not run is retried at most twice; see docs/design.md, "Outbound".
 MAX_RETRIES = 2
+MAX_CREDENTIALS = 16
+# Priorities have up to four digits between nodes.
+MAX_PRIORITY = 9999
+MAX_TENANT_RATE = 1_000_000
 _MAX_FOUND_CHARS = 80
 # Checking one route takes about 0.2 ms, and a change of a template repeats the checks of the routes
 # of all workspaces, mostly with the same result. Only small values are worth the memory.
@@ -83,6 +91,26 @@
     "hedge_ms": {**_build_integer_schema(1, MAX_DURATION_MS), "type": ["integer", "null"]},
 }
 _REQUIRED_ROUTE_FIELDS = ("id", "prefix", "service")
+# A field that is not in compiled routes unless it is true.
+_OPTIONAL_ROUTE_FIELDS: Schema = {"anonymous": {"type": ["boolean"]}}
+_TENANT_FIELDS: Schema = {
+    "credentials": {
+        "type": "array",
+        "items": {"type": "string", "pattern": _CREDENTIAL_PATTERN},
+        "uniqueItems": True,
+        "maxItems": MAX_CREDENTIALS,
+    },
+    "priority": _build_integer_schema(0, MAX_PRIORITY),
+    "rate": _build_integer_schema(1, MAX_TENANT_RATE),
+    "burst": _build_integer_schema(0, MAX_TENANT_RATE),
+}
+# Tenants have no placeholders, since parameters are quoted in errors.
+_TENANTS: Schema = {
+    "type": "object",
+    "propertyNames": {"pattern": NAME_PATTERN},
+    "additionalProperties": _build_object_schema(_TENANT_FIELDS),
+}
+_SECRET_FIELD = "tenants"
 _SCALAR: Schema = {"type": ["string", "integer", "number", "boolean"], "maxLength": MAX_TEXT_CHARS}
 
 
@@ -141,9 +169,11 @@
         "routes": {
             "type": "array",
             "items": _build_object_schema(
-                _allow_placeholders_in_fields(_ROUTE_FIELDS), required=("id",)
+                _allow_placeholders_in_fields({**_ROUTE_FIELDS, **_OPTIONAL_ROUTE_FIELDS}),
+                required=("id",),
             ),
         },
+        "tenants": _TENANTS,
     }
 )
 _WORKSPACE = _build_object_schema(
@@ -158,8 +188,11 @@
         },
         "routes": {
             "type": "array",
-            "items": _build_object_schema(_ROUTE_FIELDS, required=_REQUIRED_ROUTE_FIELDS),
+            "items": _build_object_schema(
+                {**_ROUTE_FIELDS, **_OPTIONAL_ROUTE_FIELDS}, required=_REQUIRED_ROUTE_FIELDS
+            ),
         },
+        "tenants": _TENANTS,
     }
 )
 
@@ -178,7 +211,12 @@
     "workspace": _Validator(_WORKSPACE),
     "name": _Validator(_NAME),
     "service": _Validator(_build_object_schema(_SERVICE_FIELDS, required=tuple(_SERVICE_FIELDS))),
-    "route": _Validator(_build_object_schema(_ROUTE_FIELDS, required=tuple(_ROUTE_FIELDS))),
+    "route": _Validator(
+        _build_object_schema(
+            {**_ROUTE_FIELDS, **_OPTIONAL_ROUTE_FIELDS}, required=tuple(_ROUTE_FIELDS)
+        )
+    ),
+    "tenant": _Validator(_build_object_schema(_TENANT_FIELDS, required=("credentials",))),
 }
 
 
@@ -220,7 +258,7 @@
         _VALIDATORS[kind].iter_errors(msgspec.json.decode(raw)), key=lambda error: error.json_path
     )
     return tuple(
-        (error.json_path.removeprefix("$"), _describe_expected(error), _describe_found(error))
+        (error.json_path.removeprefix("$"), _describe_expected(error), _describe_found(error, kind))
         for error in errors
     )
 
@@ -255,7 +293,11 @@
     return f"{_RULE_NAMES.get(rule, rule)} {limit}"
 
 
-def _describe_found(error: Any) -> str:
+def _describe_found(error: Any, kind: str) -> str:
+    if kind == "tenant" or _SECRET_FIELD in list(error.absolute_path)[:1]:
+        # An operator may have written a credential in place of its digest. Errors end up in the
+        # audit trail.
+        return f"a value of type {type(error.instance).__name__}"
     if error.validator in ("additionalProperties", "required"):
         return f"the keys {', '.join(sorted(error.instance))}"[:_MAX_FOUND_CHARS]
     return shorten_repr(error.instance)
--- a/src/ibiswick/_internal/configuration/templates.py
+++ b/src/ibiswick/_internal/configuration/templates.py
@@ -23,7 +23,7 @@
 
 
 class Definition(NamedTuple):
-    """Hold one service or route and the place of its last definition."""
+    """Hold one service, route or tenant and the place of its last definition."""
 
     source: str
     path: str
@@ -34,32 +34,34 @@
 class Template(NamedTuple):
     """Hold a template merged with all templates that it extends.
 
-    Services are keyed by name and routes by id, both before rendering.
+    Services and tenants are keyed by name and routes by id, all before rendering.
     """
 
     name: str
     parameters: dict[str, dict[str, Any]]
     services: dict[str, Definition]
     routes: dict[str, Definition]
+    tenants: dict[str, Definition]
 
 
 class RenderedDefinitions(NamedTuple):
-    """Hold the rendered services and routes of one use of a template, or of a whole workspace."""
+    """Hold the rendered definitions of one use of a template, or of a whole workspace."""
 
     services: list[Definition]
     routes: list[Definition]
+    tenants: list[Definition]
 
 
 def resolve_template(name: str, templates: Documents) -> Template:
     """Merge a template with all templates that it extends; raise InvalidInputError.
 
     Later entries of `extends` override earlier ones, and the template itself overrides all of them.
-    Definitions of the same service or route are merged field by field.
+    Definitions of the same service, route or tenant are merged field by field.
     """
     order, problems = _order_ancestors(name, templates)
     if problems:
         raise InvalidInputError(problems)
-    merged = Template(name, {}, {}, {})
+    merged = Template(name, {}, {}, {}, {})
     for ancestor in order:
         problems += _merge_template(merged, ancestor, templates[ancestor])
     problems += _check_placeholders(merged)
@@ -110,12 +112,13 @@
     """Substitute the parameters; every placeholder must have a value.
 
     >>> item = Definition("t", "$", "s-${n}", {"slots": "${n}"})
-    >>> render_template(Template("t", {}, {"s": item}, {}), {"n": 3}).services[0][2:]
+    >>> render_template(Template("t", {}, {"s": item}, {}, {}), {"n": 3}).services[0][2:]
     ('s-3', {'slots': 3})
     """
     return RenderedDefinitions(
         [_render_definition(item, values) for item in template.services.values()],
         [_render_definition(item, values) for item in template.routes.values()],
+        list(template.tenants.values()),
     )
 
 
@@ -198,6 +201,9 @@
     for service, policy in document.get("services", {}).items():
         item = Definition(source, f"$.services.{service}", service, policy)
         _merge_definition(merged.services, service, item)
+    for tenant, fields in document.get("tenants", {}).items():
+        item = Definition(source, f"$.tenants.{tenant}", tenant, fields)
+        _merge_definition(merged.tenants, tenant, item)
     seen = set()
     for index, route in enumerate(document.get("routes", ())):
         path = f"$.routes[{index}]"
--- a/src/ibiswick/_internal/direct/configuration.py
+++ b/src/ibiswick/_internal/direct/configuration.py
@@ -12,9 +12,9 @@
 from ..shared.logs import EventLog
 from ..shared.records import CallerLimits, Snapshot
 
-# From this many routes on, the transfer of a configuration takes a noticeable part of the capacity
-# of a slow link.
-LARGE_ROUTE_COUNT = 800
+# From this many routes and tenants on, the transfer of a configuration takes a noticeable part of
+# the capacity of a slow link.
+LARGE_ENTRY_COUNT = 800
 
 _log = EventLog(component="direct")
 
@@ -60,7 +60,9 @@
     def is_large(self) -> bool:
         """Tell whether only readers should read the configuration from the object API."""
         current = self.history.current
-        return current is not None and len(current.routes) >= LARGE_ROUTE_COUNT
+        if current is None:
+            return False
+        return len(current.routes) + len(current.tenants) >= LARGE_ENTRY_COUNT
 
     def apply_document(self, value: Any, *, source: str) -> None:
         """Apply an operator's configuration if it is valid and newer than the one in effect."""
--- a/src/ibiswick/_internal/platform/configuration.py
+++ b/src/ibiswick/_internal/platform/configuration.py
@@ -134,6 +134,10 @@
             tenant["rate"] = rate
             tenant["burst"] = reader.read_integer(entry, "tenants.burst", 0)
         tenants.append(tenant)
+    names = [tenant["name"] for tenant in tenants]
+    if len(set(names)) < len(names):
+        # Other nodes would refuse the snapshot.
+        reader.add_problem("tenants.name", "names that are used once", names)
     return tenants
 
 
--- a/src/ibiswick/_internal/tenants/gate.py
+++ b/src/ibiswick/_internal/tenants/gate.py
@@ -40,7 +40,21 @@
 
 
 class TenantGate:
-    """Identify callers by their credentials, and enforce the limits of their tenants."""
+    """Identify callers by their credentials, and enforce the limits of their tenants.
+
+    A tenant without a limit has the mean weight of those with one.
+
+    >>> from ..shared.digests import compute_credential_digest as digest
+    >>> gate = TenantGate(limiter=NullLimiter())
+    >>> rates = {"a": {"rate": 10}, "b": {"rate": 30}, "c": {}}
+    >>> tenants = [
+    ...     Tenant(name=name, credentials=[digest(name.encode())], **rate)
+    ...     for name, rate in rates.items()
+    ... ]
+    >>> gate.update(tuple(tenants), now=0.0)
+    >>> [gate.identify([name], {}).weight for name in (b"a", b"b", b"c")]
+    [10, 30, 20.0]
+    """
 
     def __init__(self, *, limiter: Limiter) -> None:
         self._limiter = limiter
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ibiswick._internal.configuration.schemas import CREDENTIAL_PREFIX
 from ibiswick._internal.direct.instances import Heartbeat
 from ibiswick._internal.direct.members import NodeRecord
 from ibiswick._internal.direct.settings import DirectSettings
@@ -49,6 +50,11 @@
     return route
 
 
+def build_digest(key: str) -> str:
+    """Build the digest of a credential as templates and workspaces hold it."""
+    return CREDENTIAL_PREFIX + compute_credential_digest(key.encode())
+
+
 def build_tenant(name: str = "acme", *keys: str, **changes: Any) -> Tenant:
     """Build a tenant with the digests of its credentials, one by default."""
     digests = [compute_credential_digest(key.encode()) for key in keys or (f"key-of-{name}",)]
