Enforce the limits of tenants over all nodes

Cause: limits of tenants were configured but not enforced (NullLimiter).

A call over the limit gets 429; while the limit is unknown it gets 503.

--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -16,6 +16,8 @@
     "ibiswick_ejections_total": "Ejections and readmissions of endpoints, by event.",
     "ibiswick_requests_rejected_total": "Malformed or unsupported requests, by code.",
     "ibiswick_crossing_bytes_total": "Bytes to and from other availability zones, by purpose.",
+    "ibiswick_limit_tokens_total": "Calls of tenants with a limit, by result.",
+    "ibiswick_limit_datagrams_total": "Datagrams about limits, by kind.",
     "ibiswick_platform_calls_total": "Calls to the object API by method, kind and result.",
 }
 _HISTOGRAM_DOCS = {
--- a/src/ibiswick/_internal/calls/callers.py
+++ b/src/ibiswick/_internal/calls/callers.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Sequence
 from typing import Protocol
 
-from ..shared.records import ANONYMOUS, Caller, Route, Tenant
+from ..shared.records import ANONYMOUS, UNLIMITED, Caller, Route, Tenant, TokenResult
 
 
 class CallerGate(Protocol):
@@ -17,10 +17,10 @@
     def identify(self, credentials: Sequence[bytes], route: Route) -> Caller:
         """Identify a caller by the values of its credential headers."""
 
-    def acquire(self, tenant: str) -> Awaitable[float | None]:
-        """Take a token of a tenant; return None, or the seconds after which to come back."""
+    def acquire(self, tenant: str) -> Awaitable[TokenResult]:
+        """Take a token of a tenant."""
 
-    def refund(self, tenant: str) -> None:
+    def refund(self, tenant: str, result: TokenResult) -> None:
         """Return the token of a call that has not run."""
 
 
@@ -34,9 +34,9 @@
         """Return the anonymous caller."""
         return ANONYMOUS
 
-    async def acquire(self, tenant: str) -> float | None:
-        """Return None."""
-        return None
+    async def acquire(self, tenant: str) -> TokenResult:
+        """Let the call go."""
+        return UNLIMITED
 
-    def refund(self, tenant: str) -> None:
+    def refund(self, tenant: str, result: TokenResult) -> None:
         """Do nothing."""
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -20,7 +20,7 @@
     UnacknowledgedError,
 )
 from ..shared.logs import EventLog
-from ..shared.records import Caller, Phase, Route, ServicePolicy, Snapshot
+from ..shared.records import UNLIMITED, Caller, Phase, Route, ServicePolicy, Snapshot
 from .answers import (
     Answer,
     build_answer,
@@ -353,15 +353,11 @@
         if self._names.attempt_id and not call.route["idempotent"]:
             await request.wait_turn()
         tenant = call.caller.tenant
+        token = UNLIMITED
         if tenant:
-            retry_after_s = await self._policy.gate.acquire(tenant)
-            if retry_after_s is not None:
-                self._counts.add("ibiswick_calls_total", "result", "over-limit")
-                answer = build_over_limit_answer(
-                    retry_after_s=retry_after_s,
-                    fractional_retry_after=self._policy.fractional_retry_after,
-                )
-                send_answer(request, answer)
+            token = await self._policy.gate.acquire(tenant)
+            if token.retry_after_s is not None:
+                self._refuse_without_token(request, token.retry_after_s, token.is_over_limit)
                 return
         service = call.service
         service.retry_budget.note_call(now=call.arrived_at)
@@ -375,12 +371,28 @@
         else:
             attempt = await self._try_hedged(call, service, hedge_s)
         if tenant and attempt.response is None and not call.maybe_ran:
-            self._policy.gate.refund(tenant)
+            self._policy.gate.refund(tenant, token)
         await self._send_result(call, attempt, request)
         result = "answered" if attempt.response is not None else attempt.outcome.value
         elapsed_s = self._clock() - call.arrived_at
         self._counts.observe("ibiswick_call_seconds", "result", result, elapsed_s)
 
+    def _refuse_without_token(
+        self, request: ServerRequest, retry_after_s: float, is_over_limit: bool
+    ) -> None:
+        """Refuse a call with 429, or with 503 while the state of the limit is not known."""
+        if is_over_limit:
+            answer = build_over_limit_answer(
+                retry_after_s=retry_after_s,
+                fractional_retry_after=self._policy.fractional_retry_after,
+            )
+        else:
+            self._counts.add("ibiswick_refused_total", "reason", "limit-unknown")
+            detail = "the state of the tenant's limit is not known"
+            answer = self._build_not_run(detail, retry_after_s)
+        self._counts.add("ibiswick_calls_total", "result", answer.code)
+        send_answer(request, answer)
+
     # Preparation
 
     async def _prepare_call(self, request: ServerRequest) -> Call | Answer:
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -22,10 +22,11 @@
 from ..shared.metrics import define_gauge, render_metrics
 from ..shared.objectapi import Platform
 from ..shared.records import BackendHealth, LocalInstance, Phase
-from ..tenants.gate import NullLimiter, TenantGate
+from ..tenants.gate import TenantGate
 from .configuration import ConfigurationDecoder
 from .counted import CountedPlatform
 from .instances import Departure, Heartbeat, InstanceTable, LivenessCheck, Verdict
+from .limits import LimitController, read_boot_time
 from .plane import DirectPlane
 from .policies import build_admission_policy, build_buffer_budget, build_call_policy
 from .settings import DirectSettings
@@ -129,6 +130,13 @@
             clock=clock,
             wall_clock=wall_clock,
         )
+        self.limits = LimitController(
+            settings=settings,
+            board=board,
+            members=self.plane.members,
+            counts=self.counts,
+            clock=read_boot_time if clock is time.monotonic else clock,
+        )
         self._outbound = Outbound(
             workspace="",
             availability_zone=settings.availability_zone,
@@ -143,7 +151,7 @@
                 names=names,
                 count_nodes=lambda: board.fleet_size.value,
                 is_current=lambda: self.plane.update_source.is_current,
-            )._replace(buffer_budget=buffers, gate=TenantGate(limiter=NullLimiter())),
+            )._replace(buffer_budget=buffers, gate=TenantGate(limiter=self.limits)),
             caller_service=settings.service,
         )
         self._inbound = Inbound(
@@ -207,6 +215,7 @@
         await self.plane.start()
         self._tasks = [
             asyncio.create_task(supervise("limits", self._follow_configuration)),
+            asyncio.create_task(supervise("tenant-limits", self.limits.run)),
             asyncio.create_task(supervise("earlier", self._follow_earlier_instance)),
             asyncio.create_task(supervise("departures", self._publish_when_departures_known)),
         ]
@@ -214,6 +223,7 @@
         await self._drain()
         for task in self._tasks:
             task.cancel()
+        self.limits.close()
         await self.plane.stop()
         await self._close_listeners()
         self._peer_pool.close()
@@ -235,6 +245,7 @@
         """Cut every connection and cancel every controller, as the end of the process does."""
         for task in self._tasks:
             task.cancel()
+        self.limits.close()
         self.plane.cancel()
         for listener in self._listeners:
             listener.abort()
@@ -331,6 +342,7 @@
                 self.plane.update_source.members_age_s,
             ),
         }
+        gauges |= self.limits.export_gauges()
         for name, (doc, value) in gauges.items():
             define_gauge(name, doc).set({}, value)
 
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -180,6 +180,11 @@
 
     # Members
 
+    @property
+    def members(self) -> MemberTable:
+        """Return the table of the known nodes."""
+        return self._members
+
     def _apply_members(self, listing: Listing, complete: bool) -> None:
         now = self._clock()
         found = {item.key: item for item in listing.objects}
@@ -217,6 +222,8 @@
             self._remove_at.pop(record.vm, None)
             records.append(record)
         self._merge_records(records, source=OBJECT_API_SOURCE)
+        if complete:
+            self._board.members_listed.set(True)
         if complete and listing.era <= FIRST_ERA:
             self._finish_earlier_record_lookup(OBJECT_API_SOURCE)
             self._note_departures_known()
--- a/src/ibiswick/_internal/direct/settings.py
+++ b/src/ibiswick/_internal/direct/settings.py
@@ -14,6 +14,8 @@
 
     * `registry`: the address where the backend server beside the node announces itself.
     * `exchange`: the address where other nodes exchange members and configuration.
+    * `limits`: the address where other nodes send datagrams about limits; the port is that of
+      `exchange` + 1 on every node. With port 0, the node has only its own part of each limit.
     * `operations`: the address of the metrics.
     * `stop_grace_s`: the time between the signal to stop and the kill.
     * `retry_ratio`, `retry_window_s`, `retry_slack`: limits of the whole fleet. Extra attempts
@@ -37,3 +39,4 @@
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     link_bytes_per_s: int = 0
+    limits: Address = Address("", 0)
--- a/src/ibiswick/_internal/platform/settings.py
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -8,7 +8,7 @@
 
 from ..direct.settings import DirectSettings
 from ..shared.errors import Problem, SettingsError
-from .fields import FieldReader
+from .fields import MAX_PORT, FieldReader
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "IBISWICK_NODE_FILE"
@@ -47,6 +47,7 @@
     # Without limits in the settings file, the rate of the link is unknown.
     limits = document.get("limits", {})
     peer = reader.read_address(listen, "listen_addrs.inbound")
+    exchange_port, limits_port = _read_internal_ports(reader, document)
     settings = DirectSettings(
         vm=reader.read_text(document, "node_id"),
         service=reader.read_text(document, "service"),
@@ -56,7 +57,7 @@
         peer=peer,
         readiness=reader.read_address(listen, "listen_addrs.readiness"),
         registry=reader.read_address(listen, "listen_addrs.admin"),
-        exchange=peer._replace(port=_read_first_port(reader, document)),
+        exchange=peer._replace(port=exchange_port),
         store=reader.read_address(store, "platform.address"),
         operations=peer._replace(port=METRICS_PORT),
         stop_grace_s=reader.read_seconds(bounds, "bounds.grace"),
@@ -66,15 +67,21 @@
         link_bytes_per_s=int(
             reader.read_number(limits, "limits.bandwidth_mbps", 0) * BYTES_PER_MEGABIT
         ),
+        limits=peer._replace(port=limits_port),
     )
     reader.raise_problems()
     return settings
 
 
-def _read_first_port(reader: FieldReader, document: dict[str, object]) -> int:
-    """Return the first port of the range that nodes may use for messages to each other."""
+def _read_internal_ports(reader: FieldReader, document: dict[str, object]) -> tuple[int, int]:
+    """Return the first two ports of the range for messages between nodes.
+
+    The second one is 0 if the range has only one port.
+    """
     ports = reader.read_list(document, "internal_ports")
-    if ports and isinstance(ports[0], int) and 0 < ports[0] <= 65535:
-        return ports[0]
+    if ports and isinstance(ports[0], int) and 0 < ports[0] <= MAX_PORT:
+        first = ports[0]
+        last = ports[-1] if isinstance(ports[-1], int) else first
+        return first, first + 1 if first < min(last, MAX_PORT) else 0
     reader.add_problem("internal_ports", "the first and the last port", ports)
-    return 0
+    return 0, 0
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -83,6 +83,9 @@
         # Number of nodes in the fleet, including this one. Each node gets an equal share of the
         # limits for the whole fleet.
         self.fleet_size: Cell[int] = Cell(1)
+        # Whether the object API has listed all nodes to this process. Before that, `fleet_size` may
+        # be too small.
+        self.members_listed: Cell[bool] = Cell(False)
         # Whether this node accepts calls from other nodes for its backend server. Set to False
         # while the node drains, only in deployments where backend servers announce themselves.
         self.accepts_peer_calls: Cell[bool] = Cell(True)
--- a/src/ibiswick/_internal/shared/records.py
+++ b/src/ibiswick/_internal/shared/records.py
@@ -99,6 +99,25 @@
     idle_timeout_s: float = 60.0
 
 
+class TokenResult(NamedTuple):
+    """Tell whether a call may go as far as the limit of its tenant is concerned.
+
+    Attributes:
+        retry_after_s: seconds after which the caller may come back; None if the call may go.
+        is_over_limit: False if the call is refused because the state of the limit is not known.
+        expires_at, coordinator: describe the token, which can be used for another call until it
+            expires; 0 and empty without a token.
+    """
+
+    retry_after_s: float | None = None
+    is_over_limit: bool = True
+    expires_at: float = 0.0
+    coordinator: str = ""
+
+
+UNLIMITED = TokenResult()
+
+
 class Snapshot(NamedTuple):
     """Hold the compiled configuration of one workspace."""
 
--- a/src/ibiswick/_internal/tenants/gate.py
+++ b/src/ibiswick/_internal/tenants/gate.py
@@ -5,7 +5,15 @@
 from collections.abc import Awaitable, Sequence
 from typing import Protocol
 
-from ..shared.records import ANONYMOUS, DEFAULT_WEIGHT, Caller, Route, Tenant
+from ..shared.records import (
+    ANONYMOUS,
+    DEFAULT_WEIGHT,
+    UNLIMITED,
+    Caller,
+    Route,
+    Tenant,
+    TokenResult,
+)
 from .credentials import CredentialTable
 
 UNKNOWN = Caller(is_known=False)
@@ -17,10 +25,10 @@
     def update(self, tenants: tuple[Tenant, ...], *, now: float) -> None:
         """Apply the tenants of a new snapshot."""
 
-    def acquire(self, tenant: str) -> Awaitable[float | None]:
-        """Take a token of a tenant; return None, or the seconds after which to come back."""
+    def acquire(self, tenant: str) -> Awaitable[TokenResult]:
+        """Take a token of a tenant."""
 
-    def refund(self, tenant: str) -> None:
+    def refund(self, tenant: str, result: TokenResult) -> None:
         """Return the token of a call that has not run."""
 
 
@@ -30,11 +38,11 @@
     def update(self, tenants: tuple[Tenant, ...], *, now: float) -> None:
         """Do nothing."""
 
-    async def acquire(self, tenant: str) -> float | None:
-        """Return None."""
-        return None
+    async def acquire(self, tenant: str) -> TokenResult:
+        """Let the call go."""
+        return UNLIMITED
 
-    def refund(self, tenant: str) -> None:
+    def refund(self, tenant: str, result: TokenResult) -> None:
         """Do nothing."""
 
 
@@ -65,10 +73,10 @@
         weight = tenant.get("rate") or self._mean_rate
         return Caller(tenant["name"], tenant.get("priority"), weight)
 
-    def acquire(self, tenant: str) -> Awaitable[float | None]:
-        """Take a token of a tenant; return None, or the seconds after which to come back."""
+    def acquire(self, tenant: str) -> Awaitable[TokenResult]:
+        """Take a token of a tenant."""
         return self._limiter.acquire(tenant)
 
-    def refund(self, tenant: str) -> None:
+    def refund(self, tenant: str, result: TokenResult) -> None:
         """Return the token of a call that has not run."""
-        self._limiter.refund(tenant)
+        self._limiter.refund(tenant, result)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,6 +16,8 @@
     MemberState,
     Route,
     ServicePolicy,
+    Snapshot,
+    Tenant,
 )
 from ibiswick._internal.shared.settings import Address
 
@@ -47,6 +49,13 @@
     return route
 
 
+def build_limited_snapshot(*, generation: int = 1, **tenant: Any) -> Snapshot:
+    """Build a configuration with one tenant, whose limit is given by `rate` and `burst`."""
+    limited = Tenant(name="acme", credentials=["0" * 32])
+    limited.update(tenant)  # type: ignore[typeddict-item]
+    return Snapshot("", generation, f"digest-{generation}", {}, (), (limited,))
+
+
 def build_member(**changes: Any) -> Member:
     """Build the member record of one backend server."""
     member = Member(
