--- a/src/ibiswick/_internal/calls/callers.py
+++ b/src/ibiswick/_internal/calls/callers.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Sequence
 from typing import Protocol
 
-from ..shared.records import ANONYMOUS, Caller, Route, Tenant
+from ..shared.records import ANONYMOUS, UNLIMITED, Caller, Route, Tenant, TokenResult
 
 
 class CallerGate(Protocol):
@@ -23,10 +23,10 @@
     def check_proof(self, tenant: bytes, call_id: bytes, proof: bytes, *, now: float) -> bool:
         """Tell whether the node that sent a call knew its tenant."""
 
-    def acquire(self, tenant: str) -> Awaitable[float | None]:
-        """Take a token of a tenant; return None, or the seconds after which to come back."""
+    def acquire(self, tenant: str) -> Awaitable[TokenResult]:
+        """Take a token of a tenant."""
 
-    def refund(self, tenant: str) -> None:
+    def refund(self, tenant: str, result: TokenResult) -> None:
         """Return the token of a call that has not run."""
 
 
@@ -48,9 +48,9 @@
         """Return False, since no tenant is known."""
         return False
 
-    async def acquire(self, tenant: str) -> float | None:
-        """Return None."""
-        return None
+    async def acquire(self, tenant: str) -> TokenResult:
+        """Let the call go."""
+        return UNLIMITED
 
-    def refund(self, tenant: str) -> None:
+    def refund(self, tenant: str, result: TokenResult) -> None:
         """Do nothing."""
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -22,10 +22,11 @@
 from ..shared.metrics import define_gauge, render_metrics
 from ..shared.objectapi import Platform
 from ..shared.records import BackendHealth, LocalInstance, Phase
-from ..tenants.gate import NullLimiter, TenantGate
+from ..tenants.gate import TenantGate
 from .configuration import ConfigurationDecoder
 from .counted import CountedPlatform
 from .instances import Departure, Heartbeat, InstanceTable, LivenessCheck, Verdict
+from .limits import LimitController, read_boot_time
 from .plane import DirectPlane
 from .policies import build_admission_policy, build_buffer_budget, build_call_policy
 from .settings import DirectSettings
@@ -126,7 +127,6 @@
         self._liveness = LivenessCheck()
         self.counts = CallCounts()
         buffers = build_buffer_budget()
-        self._gate = TenantGate(limiter=NullLimiter())
         self._peer_pool = ConnectionPool(
             idle_limit_s=PEER_IDLE_LIMIT_S,
             unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
@@ -148,6 +148,14 @@
             clock=clock,
             wall_clock=wall_clock,
         )
+        self.limits = LimitController(
+            settings=settings,
+            board=board,
+            members=self.plane.members,
+            counts=self.counts,
+            clock=read_boot_time if clock is time.monotonic else clock,
+        )
+        self._gate = TenantGate(limiter=self.limits)
         self._outbound = Outbound(
             workspace="",
             availability_zone=settings.availability_zone,
@@ -226,6 +234,7 @@
         await self.plane.start()
         self._tasks = [
             asyncio.create_task(supervise("limits", self._follow_configuration)),
+            asyncio.create_task(supervise("tenant-limits", self.limits.run)),
             asyncio.create_task(supervise("earlier", self._follow_earlier_instance)),
             asyncio.create_task(supervise("departures", self._publish_when_departures_known)),
         ]
@@ -233,6 +242,7 @@
         await self._drain()
         for task in self._tasks:
             task.cancel()
+        self.limits.close()
         await self.plane.stop()
         await self._close_listeners()
         self._peer_pool.close()
@@ -254,6 +264,7 @@
         """Cut every connection and cancel every controller, as the end of the process does."""
         for task in self._tasks:
             task.cancel()
+        self.limits.close()
         self.plane.cancel()
         for listener in self._listeners:
             listener.abort()
@@ -351,6 +362,7 @@
                 self.plane.update_source.members_age_s,
             ),
         }
+        gauges |= self.limits.export_gauges()
         for name, (doc, value) in gauges.items():
             define_gauge(name, doc).set({}, value)
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -18,6 +18,7 @@
     MemberState,
     Route,
     ServicePolicy,
+    Snapshot,
     Tenant,
 )
 from ibiswick._internal.shared.settings import Address
@@ -63,6 +64,13 @@
     return tenant
 
 
+def build_limited_snapshot(*, generation: int = 1, **tenant: Any) -> Snapshot:
+    """Build a configuration with one tenant, whose limit is given by `rate` and `burst`."""
+    limited = Tenant(name="acme", credentials=["0" * 32])
+    limited.update(tenant)  # type: ignore[typeddict-item]
+    return Snapshot("", generation, f"digest-{generation}", {}, (), (limited,))
+
+
 def build_member(**changes: Any) -> Member:
     """Build the member record of one backend server."""
     member = Member(
