--- a/src/ibiswick/_internal/tenants/limitnode.py
+++ b/src/ibiswick/_internal/tenants/limitnode.py
@@ -13,6 +13,8 @@
 from .tokens import TOKEN_S, TokenBatch, TokenCache
 
 RENEW_S = 0.3
+# Loans that are due within this time are renewed together, so that the process wakes up less often.
+RENEW_TOGETHER_S = 0.05
 # A coordinator that has not answered is asked again after this time.
 UNANSWERED_S = 0.1
 # After this time it is asked at the usual interval again.
@@ -22,7 +24,7 @@
 # Longest time that a call waits for a token.
 MAX_WAIT_S = 0.1
 # Tokens that expire within this time are given back with the next renewal.
-RETURN_BEFORE_S = 0.1
+RETURN_BEFORE_S = 0.2
 # Each renewal asks for one token of the tenants whose calls have arrived within this time.
 STANDING_S = 2.0
 # How long calls are refused without another question after a coordinator could not tell.
@@ -219,6 +221,7 @@
             result = TokenResult(None, True, batch.expires_at, batch.coordinator)
             state.waiting.popleft().finish(result)
         self._waiting.pop(state.name, None)
+        state.former = None
 
     def _refuse_waiting(self, state: _TenantState, now: float, *, is_known: bool) -> None:
         while state.waiting:
@@ -269,20 +272,23 @@
         self._add_tokens(state, batch, now)
         self._serve_waiting(state, now)
         if item.wait_s > 0:
-            if item.is_known:
-                if state.cache.refused_at <= now:
-                    state.cache.refused_at = now + item.wait_s
-                self._refuse_waiting(state, now, is_known=True)
-                return
             former = self.ledger.find_former_coordinator(state.partition, now=now)
             if former is None or former == pending.coordinator:
-                state.unknown_until = now + UNKNOWN_S
-                self._refuse_waiting(state, now, is_known=False)
+                self._note_refusal(state, item, now)
                 return
+            # While nodes move to another coordinator, the former one may still have tokens.
             state.former = former
         if state.waiting:
             self._dirty[state.name] = state
 
+    def _note_refusal(self, state: _TenantState, item: GrantItem, now: float) -> None:
+        """Refuse the waiting calls, and further ones until there may be tokens."""
+        if not item.is_known:
+            state.unknown_until = now + UNKNOWN_S
+        elif state.cache.refused_at <= now:
+            state.cache.refused_at = now + item.wait_s
+        self._refuse_waiting(state, now, is_known=item.is_known)
+
     # Requests
 
     def poll(self, now: float) -> Outgoing:
@@ -300,10 +306,11 @@
                 state.former = None
         if self._dirty:
             self._request_tokens(outgoing, now)
-        for vm in list(self.ledger.links):
-            if now >= self._find_renewal(vm):
-                items = self._build_returns(vm, now)
-                self._add_request(outgoing, vm, items, now)
+        if any(now >= self._find_renewal(vm) for vm in self.ledger.links):
+            for vm, link in list(self.ledger.links.items()):
+                if now + RENEW_TOGETHER_S >= self._find_renewal(vm):
+                    link.renewed_at = now
+                    self._add_request(outgoing, vm, self._build_returns(vm, now), now)
         return outgoing
 
     def find_next_due(self, now: float) -> float:
@@ -316,7 +323,8 @@
     def _find_renewal(self, vm: str) -> float:
         link = self.ledger.links[vm]
         is_unanswered = link.heard_at < link.sent_at < link.heard_at + REPEAT_UNTIL_S
-        return link.sent_at + (UNANSWERED_S if is_unanswered else RENEW_S)
+        due = link.renewed_at + RENEW_S
+        return min(due, link.sent_at + UNANSWERED_S) if is_unanswered else due
 
     def _repeat_pending(self, now: float) -> Outgoing:
         outgoing: Outgoing = []
--- a/src/ibiswick/_internal/tenants/rights.py
+++ b/src/ibiswick/_internal/tenants/rights.py
@@ -46,13 +46,14 @@
 class CoordinatorLink:
     """Hold what a node knows of one coordinator, and what it has lent to it."""
 
-    __slots__ = ("heard_at", "leaving", "loans", "sent_at", "stamp", "vm")
+    __slots__ = ("heard_at", "leaving", "loans", "renewed_at", "sent_at", "stamp", "vm")
 
     def __init__(self, *, vm: str) -> None:
         self.vm = vm
         self.stamp = Stamp()
         self.heard_at = NEVER
         self.sent_at = NEVER
+        self.renewed_at = NEVER
         self.leaving = False
         self.loans: list[SentLoan] = []
 
@@ -144,6 +145,9 @@
         ]
         self.given_up += len(lost)
         self._usable = usable
+        # Rights are withdrawn from one coordinator and lent to another without delay.
+        for link in self.links.values():
+            link.renewed_at = NEVER
         self._formerly_assigned = self._assigned
         self._moved_at = now
         self._assigned = [
@@ -189,7 +193,12 @@
         if link is None:
             return
         # A coordinator never applies a loan after one with a higher serial.
+        before = link.find_in_use(now)
         link.loans = [loan for loan in link.loans if loan.serial >= serial]
+        released = before & ~link.find_in_use(now)
+        for other, assigned in self._assigned_bitmaps.items():
+            if released & assigned and other in self.links:
+                self.links[other].renewed_at = NEVER
         if stamp.process != link.stamp.process or stamp.at > link.stamp.at:
             link.stamp = stamp
             link.heard_at = now
--- a/tests/test_limit_controller.py
+++ b/tests/test_limit_controller.py
@@ -16,6 +16,7 @@
 from ibiswick._internal.shared.blackboard import Blackboard
 from ibiswick._internal.shared.records import Phase
 from ibiswick._internal.shared.settings import Address
+from ibiswick._internal.tenants.limits import find_partition
 
 HOST = "127.0.0.1"
 DATAGRAMS = "ibiswick_limit_datagrams_total"
@@ -66,9 +67,12 @@
             controller.update((), now=0.0)
 
     async def wait_for_rights(self, tenant: str = "acme") -> None:
-        """Wait until a call of a tenant is admitted."""
+        """Wait until every node lends to the coordinator of a tenant and a call is admitted."""
+        partition = find_partition(tenant)
         for _ in range(1000):
-            if (await self.controllers[0].acquire(tenant)).retry_after_s is None:
+            rights = [item.node.book.get_right(partition) for item in self.controllers]
+            is_lent = max(rights) > 0.99
+            if is_lent and (await self.controllers[0].acquire(tenant)).retry_after_s is None:
                 return
             await asyncio.sleep(0.02)
         raise AssertionError("no call was admitted")
