--- a/src/ibiswick/_internal/calls/bodies.py
+++ b/src/ibiswick/_internal/calls/bodies.py
@@ -5,7 +5,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from .serving import ServerRequest
+from .buffering import FREE_BYTES
+from .parts import append_part, join_parts
+from .pressure import BufferHold
+from .requests import ServerRequest
 
 # A body up to this size is kept in memory, so that its call can be sent again.
 MAX_REPLAY_BYTES = 64 * 1024
@@ -25,10 +28,19 @@
         received_early: the body was read, up to the buffer limit, before its call got a slot.
     """
 
-    __slots__ = ("_request", "_streaming_started", "buffered", "is_complete", "received_early")
+    __slots__ = (
+        "_hold",
+        "_request",
+        "_streaming_started",
+        "buffered",
+        "is_complete",
+        "received_early",
+    )
 
-    def __init__(self, request: ServerRequest) -> None:
+    def __init__(self, request: ServerRequest, *, hold: BufferHold | None = None) -> None:
         self._request = request
+        # Counts the buffered bytes.
+        self._hold = hold
         self.buffered = b""
         self.is_complete = True
         self.received_early = False
@@ -44,17 +56,24 @@
         if not self._request.body_arrived:
             return False
         self.buffered = self._request.read_available()
+        if self._hold is not None and len(self.buffered) > FREE_BYTES:
+            self._hold.force(len(self.buffered))
         return True
 
     async def fill_buffer(self, *, limit: int) -> None:
-        """Buffer the body until it ends or exceeds the limit in bytes."""
+        """Buffer the body until it ends or exceeds the limit in bytes; raise NoRoomError."""
         request = self._request
-        parts = [await request.read()]
-        size = len(parts[0])
-        while not request.at_end and size <= limit:
-            parts.append(await request.read())
-            size += len(parts[-1])
-        self.buffered = b"".join(parts)
+        parts: list[bytes | bytearray] = []
+        size = 0
+        while True:
+            part = await request.read()
+            if self._hold is not None and part:
+                await self._hold.grow(len(part))
+            append_part(parts, part)
+            size += len(part)
+            if request.at_end or size > limit:
+                break
+        self.buffered = join_parts(parts)
         self.is_complete = request.at_end
 
     async def stream(self) -> AsyncIterator[bytes]:
--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -15,6 +15,7 @@
     "ibiswick_hedges_total": "Hedged attempts, by result.",
     "ibiswick_ejections_total": "Ejections and readmissions of endpoints, by event.",
     "ibiswick_requests_rejected_total": "Malformed or unsupported requests, by code.",
+    "ibiswick_cut_total": "Connections closed and bodies given up for want of room, by reason.",
     "ibiswick_crossing_bytes_total": "Bytes to and from other availability zones, by purpose.",
     "ibiswick_platform_calls_total": "Calls to the object API by method, kind and result.",
 }
--- a/src/ibiswick/_internal/calls/connections.py
+++ b/src/ibiswick/_internal/calls/connections.py
@@ -23,8 +23,11 @@
     ResponseLostError,
     UnacknowledgedError,
 )
+from .buffering import FREE_BYTES
 from .exchanges import ExchangeLimits, Headers, Request
 from .parts import BodyBuffer
+from .pressure import BufferHold, Buffers
+from .requests import MAX_JOINED_BYTES
 
 # Reading pauses while more than this many bytes of a response's body are buffered.
 RESPONSE_HIGH_WATER_BYTES = 256 * 1024
@@ -48,6 +51,7 @@
 
     __slots__ = (
         "_connection",
+        "_hold",
         "complete",
         "error",
         "has_head",
@@ -58,6 +62,8 @@
     def __init__(self, connection: Connection) -> None:
         super().__init__()
         self._connection = connection
+        # Counts the buffered bytes once there are many.
+        self._hold: BufferHold | None = None
         self.complete = False
         self.has_head = False
         self.error: ResponseLostError | None = None
@@ -66,9 +72,15 @@
 
     def add(self, part: bytes) -> None:
         """Buffer a part of the body, and pause reading while the reader is slow."""
-        self._parts.append(part)
-        self._size_bytes += len(part)
-        if self._size_bytes > RESPONSE_HIGH_WATER_BYTES:
+        self._append(part)
+        buffers = self._connection.buffers
+        if self._size_bytes > FREE_BYTES and buffers is not None:
+            if self._hold is None:
+                self._hold = BufferHold(buffers=buffers)
+            self._hold.force(self._size_bytes - self._hold.size_bytes)
+        if self._size_bytes > RESPONSE_HIGH_WATER_BYTES or (
+            buffers is not None and buffers.is_over
+        ):
             self._connection.pause_reading()
 
     async def wait_head(self) -> None:
@@ -91,6 +103,8 @@
         if not self._parts:
             return b""
         body = self._pop_all()
+        if self._hold is not None:
+            self._hold.release()
         if not self.complete:
             self._connection.resume_reading()
         return body
@@ -138,6 +152,7 @@
         "_timer_fires_at",
         "_transport",
         "_writable_waiter",
+        "buffers",
         "head_bytes",
         "idle_since",
         "loop",
@@ -148,6 +163,7 @@
 
     def __init__(self, connections: RemoteConnections, loop: asyncio.AbstractEventLoop) -> None:
         self._connections = connections
+        self.buffers = connections.buffers
         self.loop = loop
         self._parser: httptools.HttpResponseParser | None = None
         self._transport: asyncio.Transport | None = None
@@ -375,7 +391,18 @@
         elif limits.deadline is not None:
             expires_at = limits.deadline if limits.head_deadline is None else limits.head_deadline
             self._set_timer(expires_at, now)
-        transport.write(request.head + request.body if request.body else request.head)
+        if len(request.body) > MAX_JOINED_BYTES:
+            # A copy of a large body would need its memory twice.
+            transport.write(request.head)
+            transport.write(request.body)
+        else:
+            transport.write(request.head + request.body if request.body else request.head)
+        buffers = self.buffers
+        if buffers is not None and limits.max_body_bytes is not None:
+            # Messages of the control plane have no such limit, and are never held back.
+            buffers.sources.add(self)
+            if buffers.is_over:
+                self.hold_back()
         if request.stream is not None:
             self._continue_waiter = self.loop.create_future() if request.await_continue else None
             self._sender = self.loop.create_task(self._send(request.stream, request.chunked))
@@ -452,6 +479,8 @@
             sender.cancel()
             self._not_reusable = True
         self._response = None
+        if self.buffers is not None:
+            self.buffers.sources.discard(self)
         self.resume_reading()
         self._note_failed_id(response.status)
         if self._is_head:
@@ -505,9 +534,21 @@
             self._timer.cancel()
             self._timer = None
         self._connections.forget(self)
+        if self.buffers is not None:
+            self.buffers.sources.discard(self)
         if self._transport is not None:
             self._transport.abort()
 
+    def hold_back(self) -> None:
+        """Stop reading until `let_go`, unless the response is being read."""
+        if self._response is not None and not self._response.has_head:
+            self.pause_reading()
+
+    def let_go(self) -> None:
+        """Read again, unless the reader of the response has to catch up."""
+        if self._response is not None and not self._response.has_head:
+            self.resume_reading()
+
     def pause_reading(self) -> None:
         """Pause reading until the reader of the response catches up."""
         if not self._reading_paused and self.is_open and self._transport is not None:
@@ -545,9 +586,10 @@
 class RemoteConnections:
     """Hold the connections to one server."""
 
-    __slots__ = ("_idle", "_open", "_waiters", "opening")
+    __slots__ = ("_idle", "_open", "_waiters", "buffers", "opening")
 
-    def __init__(self) -> None:
+    def __init__(self, *, buffers: Buffers | None = None) -> None:
+        self.buffers = buffers
         self._idle: list[Connection] = []
         self._open: set[Connection] = set()
         self._waiters: deque[asyncio.Future[None]] = deque()
--- a/src/ibiswick/_internal/calls/dataplane.py
+++ b/src/ibiswick/_internal/calls/dataplane.py
@@ -22,6 +22,7 @@
 from .inbound import Inbound
 from .outbound import Outbound
 from .pool import ConnectionPool, PoolFetch
+from .pressure import Buffers
 from .serving import Listener, ServerRequest
 
 METRICS_FORMAT = "text/plain"
@@ -99,6 +100,7 @@
         self._counts = CallCounts()
         self._watcher = BackendWatcher(board=board)
         self._tasks: list[asyncio.Task[None]] = []
+        buffers = Buffers(counts=self._counts)
         tls = settings.tls
         server_tls = build_server_context(tls) if tls else None
         caller_tls = build_server_context(tls, require_client=False) if tls else None
@@ -107,8 +109,9 @@
             idle_limit_s=PEER_IDLE_LIMIT_S,
             ssl_context=client_tls,
             check_certificate=self._check_server if tls else None,
+            buffers=buffers,
         )
-        self._backend = ConnectionPool(idle_limit_s=BACKEND_IDLE_LIMIT_S)
+        self._backend = ConnectionPool(idle_limit_s=BACKEND_IDLE_LIMIT_S, buffers=buffers)
         uses_tls = urlsplit(settings.platform.url).scheme == "https"
         self._platform = ConnectionPool(
             idle_limit_s=PLATFORM_IDLE_LIMIT_S, ssl_context=client_tls if uses_tls else None
@@ -141,6 +144,7 @@
             port=settings.caller.port,
             ssl_context=caller_tls,
             on_rejected=self._note_rejected,
+            buffers=buffers,
         )
         self._peer = Listener(
             handler=self._inbound,
@@ -149,12 +153,14 @@
             ssl_context=server_tls,
             check_client=self._check_client if tls else None,
             on_rejected=self._note_rejected,
+            buffers=buffers,
         )
         self._operations = Listener(
             handler=self._serve_operations,
             host=settings.operations.host,
             port=settings.operations.port,
             ssl_context=caller_tls,
+            buffers=buffers,
         )
 
     @property
--- a/src/ibiswick/_internal/calls/exchanges.py
+++ b/src/ibiswick/_internal/calls/exchanges.py
@@ -6,9 +6,14 @@
 from typing import NamedTuple, Protocol
 
 from ..shared.errors import NotSentError, ResponseLostError
+from .buffering import FREE_BYTES
+from .parts import append_part, join_parts
+from .pressure import BufferHold, NoRoomError
 
 CONNECT_TIMEOUT_S = 0.3
 DEFAULT_MAX_CONNECTIONS = 128
+# No allowed length has more digits.
+MAX_LENGTH_DIGITS = 18
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -96,48 +101,41 @@
         """Raise NotSentError, ResponseLostError or ExchangeTimeoutError."""
 
 
-class ByteBudget:
-    """Limit the total bytes of the bodies that a process buffers.
-
-    >>> budget = ByteBudget(limit=10)
-    >>> budget.reserve(8), budget.reserve(8), budget.used
-    (True, False, 8)
-    """
-
-    __slots__ = ("limit", "used")
-
-    def __init__(self, *, limit: int) -> None:
-        self.limit = limit
-        self.used = 0
-
-    def reserve(self, size_bytes: int) -> bool:
-        """Count bytes to be buffered; return False if they would exceed the limit."""
-        if self.used + size_bytes > self.limit:
-            return False
-        self.used += size_bytes
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """Uncount bytes that are no longer buffered."""
-        self.used -= size_bytes
-
-
 async def read_body(
-    response: ExchangeResponse, *, limit: int, budget: ByteBudget | None = None
+    response: ExchangeResponse, *, limit: int, hold: BufferHold | None = None
 ) -> bytes:
-    """Read the rest of a body; raise ResponseLostError if it breaks off or exceeds a limit."""
-    budget = budget or ByteBudget(limit=limit)
-    parts: list[bytes] = []
-    size_bytes = 0
+    """Read the rest of a body; raise ResponseLostError if it breaks off or exceeds a limit.
+
+    `hold` counts the bytes. Those of an announced length are counted at once, so that bodies which
+    are read in part don't wait for each other's room.
+    """
+    parts: list[bytes | bytearray] = []
+    size_bytes = counted_bytes = 0
     try:
-        part = response.read_available() or await response.read()
+        part = response.read_available()
+        if hold is not None and not (response.complete and len(part) <= FREE_BYTES):
+            counted_bytes = max(len(part), min(limit, _find_length(response.headers)))
+            await hold.grow(counted_bytes)
+        part = part or await response.read()
         while part:
-            if size_bytes + len(part) > limit or not budget.reserve(len(part)):
+            size_bytes += len(part)
+            if size_bytes > limit:
                 response.close()
                 raise ResponseLostError("the response body is too large")
-            parts.append(part)
-            size_bytes += len(part)
+            if hold is not None and size_bytes > counted_bytes + FREE_BYTES:
+                await hold.grow(size_bytes - counted_bytes)
+                counted_bytes = size_bytes
+            append_part(parts, part)
             part = await response.read()
-    finally:
-        budget.release(size_bytes)
-    return b"".join(parts)
+    except NoRoomError as error:
+        response.close()
+        raise ResponseLostError(str(error)) from error
+    return join_parts(parts)
+
+
+def _find_length(headers: Headers) -> int:
+    """Return the announced length of a body, or 0."""
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value[:MAX_LENGTH_DIGITS])
+    return 0
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -26,7 +26,6 @@
 from .bodies import MAX_REPLAY_BYTES, RequestBody
 from .callcounts import CallCounts
 from .exchanges import (
-    ByteBudget,
     Exchange,
     ExchangeLimits,
     ExchangeResponse,
@@ -54,6 +53,7 @@
     read_response_head,
     write_framing,
 )
+from .pressure import BufferHold, Buffers, NoRoomError
 from .serving import AbortResponseError, ServerRequest, read_problem_detail
 from .turns import BodyTurns
 
@@ -62,6 +62,8 @@
 RETRY_AFTER_CONNECT_S = 1.0
 # With less time left before the deadline, a failed connect says nothing about the backend server.
 MIN_CONNECT_TIME_S = 0.05
+# Stalled connections are closed several times within this time.
+RETRY_AFTER_BUFFERS_S = 0.5
 DEFAULT_QUEUE_S = 0.05
 # The turn of a body ends after this many times its usual transfer time plus a few round trips over
 # a busy link; the link is then free for other bodies.
@@ -93,8 +95,8 @@
     # Limits the bodies that are received first, and responses, which are forwarded only when they
     # are complete; 0 forwards responses as they arrive.
     max_buffered_body_bytes: int = 0
-    # Limits the bytes of all buffered responses together.
-    buffer_budget: ByteBudget | None = None
+    # Limits the bytes of all buffered bodies together.
+    buffers: Buffers | None = None
     # Rate of this VM's link, 0 if unknown.
     link_bytes_per_s: int = 0
 
@@ -164,7 +166,7 @@
         """Answer one call of another node."""
         head = read_request_head(request.headers, self._names, from_node=True)
         id_headers: Headers = [(CALL_ID_HEADER, head.call_id)]
-        refusal = self._check_head(head)
+        refusal = self._check_head(head) or self._check_buffers()
         if refusal is not None:
             self._counts.add("ibiswick_peer_calls_total", "result", refusal.code)
             send_answer(request, refusal, id_headers + build_closing_headers(self._board, request))
@@ -198,6 +200,20 @@
             return build_not_run_answer("this node drains", retry_after_s=RETRY_AFTER_DRAINING_S)
         return None
 
+    def _open_hold(self) -> BufferHold | None:
+        buffers = self._policy.buffers
+        return None if buffers is None else BufferHold(buffers=buffers)
+
+    def _check_buffers(self) -> Answer | None:
+        """Return a refusal while the process has no room for the bytes of another call."""
+        buffers = self._policy.buffers
+        if buffers is None or not buffers.is_short:
+            return None
+        self._counts.add("ibiswick_refused_total", "reason", "buffers")
+        return build_not_run_answer(
+            "no buffer is free", retry_after_s=RETRY_AFTER_BUFFERS_S, fractional_retry_after=True
+        )
+
     def _check_instance(self, head: RequestHead, *, waited: bool) -> Answer | None:
         """Return a refusal unless the announced backend server accepts the call.
 
@@ -246,7 +262,7 @@
         arrived_at = self._clock()
         deadline = None if head.deadline_ms is None else arrived_at + head.deadline_ms / 1000
         slot_request = build_slot_request(head, now=arrived_at, deadline=deadline)
-        body = RequestBody(request)
+        body = RequestBody(request, hold=self._open_hold())
         refused = await self._receive_body(body, head, slot_request)
         if refused is None:
             if body.received_early:
@@ -360,6 +376,8 @@
             self._queue.note_received(self._clock() - began_at)
         except TimeoutError:
             return Refused("body-late", self._turns.estimate_wait())
+        except NoRoomError:
+            return Refused("buffers", RETRY_AFTER_BUFFERS_S)
         finally:
             self._queue.receiving_bodies -= 1
             if turn_timeout is not None:
@@ -582,7 +600,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 await body.fill_buffer(limit=MAX_REPLAY_BYTES)
-        except TimeoutError:
+        except (TimeoutError, NoRoomError):
             return False
         return True
 
@@ -601,7 +619,7 @@
             body = await read_body(
                 response,
                 limit=self._policy.max_buffered_body_bytes,
-                budget=self._policy.buffer_budget,
+                hold=self._open_hold(),
             )
             spent_ms = int((self._clock() - arrived_at) * 1000)
             headers = (
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -36,7 +36,6 @@
 from .callcounts import CallCounts
 from .callers import CallerGate, OpenGate
 from .exchanges import (
-    ByteBudget,
     ConnectionsBusyError,
     Exchange,
     ExchangeLimits,
@@ -67,6 +66,7 @@
     read_response_head,
     write_framing,
 )
+from .pressure import BufferHold, Buffers, NoRoomError
 from .retries import (
     MIN_ATTEMPT_S,
     Outcome,
@@ -88,6 +88,8 @@
 # run twice could not be sent again.
 REUSE_WITHIN_S = 1.0
 RETRY_AFTER_UNREADY_S = 1.0
+# Stalled connections are closed several times within this time.
+RETRY_AFTER_BUFFERS_S = 0.5
 # Statuses that count as failures of the backend server when endpoints are chosen. The response
 # still goes to the caller, because the call may have run.
 FAILURE_STATUSES = frozenset((500, 502, 503, 504))
@@ -133,7 +135,7 @@
             it, since a node that refuses the call needs none. The body uses only a share of the
             link.
         link_bytes_per_s: rate of this VM's link, 0 if unknown.
-        buffer_budget: bounds the bytes that are held of all responses together.
+        buffers: bounds the bytes that are held of all bodies together.
         is_current: returns False while this node may lack newer routes.
         gate: identifies callers and enforces the limits of their tenants.
     """
@@ -150,7 +152,7 @@
     prefix_needs_slash: bool = False
     expect_continue_above_bytes: int = MAX_REPLAY_BYTES
     link_bytes_per_s: int = 0
-    buffer_budget: ByteBudget | None = None
+    buffers: Buffers | None = None
     is_current: Callable[[], bool] = lambda: True
     gate: CallerGate = OpenGate()
 
@@ -168,6 +170,7 @@
         wait_s: how long a refused call would probably have waited for a slot there.
         peer_silent: the other VM has not even acknowledged what was sent.
         local_cause: the other VM could not be reached, probably because of this VM's own network.
+        hold: counts the bytes of `body`.
     """
 
     outcome: Outcome
@@ -181,6 +184,7 @@
     body: bytes | None = None
     peer_silent: bool = False
     local_cause: bool = False
+    hold: BufferHold | None = None
 
 
 class Call:
@@ -324,6 +328,9 @@
             self._counts.add("ibiswick_refused_total", "reason", "starting")
             detail = "this node has not confirmed its configuration yet"
             return self._build_not_run(detail, RETRY_AFTER_UNREADY_S)
+        if self._policy.buffers is not None and self._policy.buffers.is_short:
+            self._counts.add("ibiswick_refused_total", "reason", "buffers")
+            return self._build_not_run("no buffer is free", RETRY_AFTER_BUFFERS_S)
         return None
 
     def _build_not_run(self, detail: str, retry_after_s: float) -> Answer:
@@ -416,7 +423,7 @@
             self._counts.add("ibiswick_refused_total", "reason", "stopping")
             detail = "this node stops before the call's deadline"
             return self._build_not_run(detail, RETRY_AFTER_STOPPING_S)
-        body = RequestBody(request)
+        body = RequestBody(request, hold=self._open_hold())
         if not body.take_arrived():
             limit = 0 if is_upload else MAX_REPLAY_BYTES
             limit_s = self._upload_idle_s if deadline is None else deadline - now
@@ -427,6 +434,9 @@
                 self._counts.add("ibiswick_refused_total", "reason", "body-late")
                 detail = "the body did not arrive in time"
                 return self._build_not_run(detail, RETRY_AFTER_UNREADY_S)
+            except NoRoomError as error:
+                self._counts.add("ibiswick_refused_total", "reason", "buffers")
+                return self._build_not_run(str(error), RETRY_AFTER_BUFFERS_S)
         return Call(
             method=method,
             target=request.target,
@@ -742,14 +752,17 @@
         if not self._policy.buffer_bytes or method == "HEAD":
             return Attempt(Outcome.RESPONSE, "", response, head)
         try:
-            body = await read_body(
-                response, limit=self._policy.buffer_bytes, budget=self._policy.buffer_budget
-            )
+            hold = self._open_hold()
+            body = await read_body(response, limit=self._policy.buffer_bytes, hold=hold)
         except ExchangeTimeoutError as error:
             return Attempt(Outcome.TIMEOUT, str(error))
         except ResponseLostError as error:
             return Attempt(Outcome.LOST, str(error))
-        return Attempt(Outcome.RESPONSE, "", response, head, body=body)
+        return Attempt(Outcome.RESPONSE, "", response, head, body=body, hold=hold)
+
+    def _open_hold(self) -> BufferHold | None:
+        buffers = self._policy.buffers
+        return None if buffers is None else BufferHold(buffers=buffers)
 
     async def _read_peer_outcome(self, response: ExchangeResponse, head: ResponseHead) -> Attempt:
         """Interpret a response that the peer node made itself."""
@@ -907,6 +920,9 @@
             if response.status >= 500:
                 self._log_failure(call, attempt, response.status)
             request.respond(response.status, head.headers, attempt.body)
+            if attempt.hold is not None:
+                # From now on, the connection counts what the caller has not taken.
+                attempt.hold.release()
             self._counts.add("ibiswick_calls_total", "result", "answered")
             return
         try:
--- a/src/ibiswick/_internal/calls/pool.py
+++ b/src/ibiswick/_internal/calls/pool.py
@@ -24,6 +24,7 @@
     Request,
     read_body,
 )
+from .pressure import BufferHold, Buffers
 
 # A client of the object API has no other server to try, and its handshake may be delayed by other
 # traffic that fills the link.
@@ -59,7 +60,9 @@
         probe_interval_s: int | None = None,
         counts: CallCounts | None = None,
         own_vm: str = "",
+        buffers: Buffers | None = None,
     ) -> None:
+        self._buffers = buffers
         self.connect_history = ConnectHistory()
         self._counts = counts or CallCounts()
         self._own_vm = own_vm
@@ -77,7 +80,7 @@
         """Send a request and return its response once the response's head has arrived."""
         connections = self._connections.get(remote)
         if connections is None:
-            connections = self._connections[remote] = RemoteConnections()
+            connections = self._connections[remote] = RemoteConnections(buffers=self._buffers)
         connection = connections.acquire(
             now=time.monotonic(),
             idle_limit_s=self._idle_limit_s,
@@ -245,7 +248,10 @@
     A request fails after `timeout_s` without a byte; a large response may take longer as a whole.
     """
 
-    def __init__(self, *, pool: ConnectionPool, base_url: str) -> None:
+    def __init__(
+        self, *, pool: ConnectionPool, base_url: str, buffers: Buffers | None = None
+    ) -> None:
+        self._buffers = buffers
         parts = urlsplit(base_url)
         port = parts.port or (443 if parts.scheme == "https" else 80)
         self._pool = pool
@@ -268,6 +274,10 @@
             deadline=None, stall_timeout_s=timeout_s, connect_timeout_s=FETCH_CONNECT_TIMEOUT_S
         )
         response = await self._pool.exchange(self._remote, request, limits)
+        hold = None if self._buffers is None else BufferHold(buffers=self._buffers)
         content = await read_body(response, limit=MAX_FETCH_BODY_BYTES)
+        if hold is not None:
+            # Counted but never refused: the node needs its configuration in any case.
+            hold.force(len(content))
         text = {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
         return FetchResponse(response.status, text, content)
--- a/src/ibiswick/_internal/calls/requests.py
+++ b/src/ibiswick/_internal/calls/requests.py
@@ -18,6 +18,8 @@
 REQUEST_HIGH_WATER_BYTES = 64 * 1024
 # A handler pauses while more than this many bytes of its response wait for earlier responses.
 HELD_HIGH_WATER_BYTES = 64 * 1024
+# A larger body is sent behind its head without a copy of both.
+MAX_JOINED_BYTES = 64 * 1024
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 STATUS_LINES = {
@@ -64,6 +66,7 @@
         "_held_bytes",
         "_held_head_end",
         "_held_parts",
+        "_kept_bytes",
         "_pending_head",
         "_turn_waiter",
         "_unsent_bytes",
@@ -111,6 +114,8 @@
         self.task: asyncio.Task[None] | None = None
         self._held_parts: list[bytes] = []
         self._held_bytes = 0
+        # Bytes of the body that the handler keeps until it responds.
+        self._kept_bytes = 0
         # Index in `_held_parts` at which the last line of a held head belongs.
         self._held_head_end: int | None = None
         self._turn_waiter: asyncio.Future[None] | None = None
@@ -137,13 +142,14 @@
         if self.complete or self.disconnected:
             # The handler has responded without reading the rest, or the caller disconnected.
             return
-        self._parts.append(part)
-        self._size_bytes += len(part)
+        self._append(part)
+        self._connection.count_held(len(part))
 
     def read_available(self) -> bytes:
         """Return the part of the body that has arrived, without waiting."""
         if not self._parts:
             return b""
+        self._connection.count_held(-self._size_bytes)
         body = self._pop_all()
         if not self.body_arrived:
             self._connection.update_reading()
@@ -171,6 +177,11 @@
         """Tell whether the caller may omit the body, so that the next bytes could be misread."""
         return self._expects_continue and not self.body_arrived
 
+    def keep(self, size_bytes: int) -> None:
+        """Count bytes that have been read and are kept until the response ends."""
+        self._kept_bytes += size_bytes
+        self._connection.count_held(size_bytes)
+
     # Response
 
     def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
@@ -218,14 +229,14 @@
                 self._turn_waiter = self._connection.loop.create_future()
             await asyncio.shield(self._turn_waiter)
 
-    def give_turn(self) -> bytes:
-        """Allow this response to be sent, and return the bytes of it that were held back."""
+    def give_turn(self) -> list[bytes]:
+        """Allow this response to be sent, and return the parts of it that were held back."""
         self.has_turn = True
         if self._held_head_end is not None:
             self._held_parts.insert(self._held_head_end, self._end_head())
             self._held_head_end = None
-        held = b"".join(self._held_parts)
-        self._held_parts.clear()
+        held, self._held_parts = self._held_parts, []
+        self._connection.count_held(-self._held_bytes)
         self._held_bytes = 0
         self.wake_turn()
         return held
@@ -241,7 +252,11 @@
         if self.has_turn:
             if head:
                 head += self._end_head()
-            if head or data:
+            if head and len(data) > MAX_JOINED_BYTES:
+                # A copy of a large body would need its memory twice.
+                self._connection.write(head)
+                self._connection.write(data)
+            elif head or data:
                 self._connection.write(head + data)
             return
         if head:
@@ -249,6 +264,7 @@
             self._held_head_end = len(self._held_parts)
         self._held_parts.append(data)
         self._held_bytes += len(head) + len(data)
+        self._connection.count_held(len(head) + len(data))
 
     def _pop_pending_head(self) -> bytes:
         head, self._pending_head = self._pending_head, None
@@ -301,6 +317,7 @@
 
     def _finish_response(self) -> None:
         self.complete = True
+        self._connection.count_held(-self._size_bytes - self._kept_bytes)
         self._parts.clear()
-        self._size_bytes = 0
+        self._size_bytes = self._kept_bytes = 0
         self._connection.end_response(self)
--- a/src/ibiswick/_internal/calls/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -18,6 +18,9 @@
 
 from ..shared.logs import EventLog
 from ..shared.records import CallerLimits
+from .buffering import FREE_BYTES
+from .kernelbuffers import count_unacknowledged
+from .pressure import Buffers
 from .requests import (
     REQUEST_HIGH_WATER_BYTES,
     STATUS_LINES,
@@ -40,8 +43,22 @@
 DEFAULT_LIMITS = CallerLimits()
 KEEP_ALIVE_S = DEFAULT_LIMITS.idle_timeout_s
 BACKLOG = 1024
+# With a shorter backlog, a burst of clients waits for the retransmission of its handshakes.
+# Connections that are closed at once use descriptors until then, at most as many as the backlog.
+MIN_BACKLOG = 128
+# Larger pieces of what has arrived are parsed one after the other, so that pipelined requests which
+# can't be started stay bytes.
+PIECE_BYTES = 4 * 1024
+BODY_PIECE_BYTES = 64 * 1024
+MAX_PARTS_IN_PIECE = 64
+# Memory of a header besides its bytes: a tuple and two objects.
+HEADER_COST_BYTES = 128
+# Some clients send a line end behind a body, which does not begin a request.
+MAX_LINE_END_BYTES = 4
 MAX_REQUEST_HEAD_BYTES = DEFAULT_LIMITS.max_head_bytes
 SHUTDOWN_LIMIT_S = 5
+# As long as other nodes reuse a connection for a call that must not run twice.
+MIN_REPLACED_IDLE_S = 1.0
 
 _log = EventLog(component="serving")
 
@@ -78,26 +95,39 @@
     """Serve the requests of one connection, and cancel their tasks when the caller disconnects."""
 
     __slots__ = (
+        "_account",
         "_active",
+        "_body_parts",
         "_close_announced",
         "_closes_when_served",
         "_expects_continue",
         "_got_last_request",
         "_head_bytes",
+        "_head_cost",
         "_headers",
+        "_held_bytes",
         "_idle_deadline",
         "_in_head",
+        "_lead_bytes",
         "_listener",
+        "_message_began",
         "_parser",
+        "_pinned_bytes",
+        "_raw_head_bytes",
         "_reading_paused",
+        "_received_bytes",
         "_receiving",
         "_target",
         "_timer",
         "_timer_fires_at",
         "_transport",
+        "_unparsed",
         "_waiting",
         "_writable_waiter",
+        "_written_bytes",
         "loop",
+        "opened_at",
+        "served",
     )
 
     def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop) -> None:
@@ -127,12 +157,34 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_fires_at = 0.0
         self._idle_deadline: float | None = None
+        # Bytes that arrived behind requests that can't be started yet.
+        self._unparsed = b""
+        # Bytes that arrived since the last request without beginning another one.
+        self._lead_bytes = 0
+        # Bytes of the present head, without those of its first and last piece.
+        self._raw_head_bytes = 0
+        self._message_began = False
+        # Bytes of bodies and responses that the requests hold.
+        self._held_bytes = 0
+        # Memory of a head that has not ended.
+        self._head_cost = 0
+        # Bytes of the written objects of which a part may be unsent.
+        self._pinned_bytes = 0
+        self._written_bytes = 0
+        self._body_parts = 0
+        self._received_bytes = 0
+        self._account = listener.buffers.open_account(self)
+        self.opened_at = time.monotonic()
+        # Whether a request has been answered.
+        self.served = False
 
     # Transport callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
-        self._listener.connections.add(self)
+        if not self._listener.admit(self):
+            self._transport.abort()
+            return
         check = self._listener.check_client
         if check is not None and not check(transport.get_extra_info("peercert")):
             client = transport.get_extra_info("peername")
@@ -147,14 +199,21 @@
             self._timer.cancel()
             self._timer = None
         self._wake_writer()
+        if self._account.held_bytes:
+            self._listener.buffers.set_held(self._account, 0)
+        self._held_bytes = self._head_cost = self._pinned_bytes = 0
+        self._listener.buffers.sources.discard(self)
         self._parser = None  # type: ignore[assignment]
         self._listener.forget(self)
 
     def pause_writing(self) -> None:
         self._writable_waiter = self.loop.create_future()
+        self._update_account()
 
     def resume_writing(self) -> None:
         self._wake_writer()
+        self._pinned_bytes = 0
+        self._update_account()
         self._start_next()
 
     def _wake_writer(self) -> None:
@@ -163,14 +222,57 @@
             writable.set_result(None)
 
     def data_received(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        if self._unparsed:
+            self._unparsed += data
+        elif len(data) <= PIECE_BYTES:
+            self._parse(data)
+        else:
+            self._parse_pieces(data)
+
+    def _parse_pieces(self, data: bytes) -> None:
+        """Parse what has arrived, up to requests that can't be started yet."""
+        start, size = 0, PIECE_BYTES
+        while start < len(data) and not self._got_last_request:
+            parts_before = self._body_parts
+            self._parse(data[start : start + size])
+            start += size
+            if self._waiting:
+                self._unparsed = data[start:]
+                self._update_account()
+                return
+            if self._body_parts - parts_before > MAX_PARTS_IN_PIECE and start < len(data):
+                # Parsing many small parts takes long, and other connections must have their turn.
+                self._unparsed = data[start:]
+                self._update_account()
+                self.update_reading()
+                self.loop.call_soon(self._parse_rest)
+                return
+            size = PIECE_BYTES if self._receiving is None else BODY_PIECE_BYTES
+
+    def _parse_rest(self) -> None:
+        """Go on with what has arrived, unless requests wait to be started first."""
+        if self._waiting or self._transport.is_closing():
+            return
+        data, self._unparsed = self._unparsed, b""
+        self._parse_pieces(data)
+        self._update_account()
+        self.update_reading()
+
+    def _parse(self, data: bytes) -> None:
         if self._got_last_request or self._transport.is_closing():
             return
         was_in_head = self._in_head
+        is_lead = not was_in_head and self._receiving is None
+        self._message_began = False
         try:
             self._parser.feed_data(data)
             if was_in_head and self._in_head:
                 # The parser reports a header only when it is complete.
-                self._count_head_bytes(len(data))
+                self._raw_head_bytes += len(data)
+                self._check_head_bytes()
+            elif is_lead and not self._message_began:
+                self._count_lead(len(data))
         except httptools.HttpParserUpgrade:
             self._reject(_UpgradeError())
         except (httptools.HttpParserError, _RejectedRequestError) as error:
@@ -179,22 +281,47 @@
         else:
             if self._receiving is not None:
                 self._receiving.wake()
-            if self._in_head and not was_in_head and not self._active:
+            if self._in_head or self._head_cost:
+                self._count_head_cost()
+            if self._in_head and not was_in_head and not self._active and not self._lead_bytes:
                 self._set_idle_deadline(time.monotonic() + self._listener.limits.head_timeout_s)
             self.update_reading()
 
+    def _count_lead(self, count: int) -> None:
+        """Count bytes before a request, such as empty lines, towards the size and time of a head.
+
+        Raise _HeadTooLargeError if they exceed the limit.
+        """
+        began_before = self._lead_bytes > MAX_LINE_END_BYTES
+        self._lead_bytes += count
+        limits = self._listener.limits
+        if self._lead_bytes > limits.max_head_bytes:
+            raise _HeadTooLargeError(limits.max_head_bytes)
+        if not began_before and self._lead_bytes > MAX_LINE_END_BYTES and not self._active:
+            self._set_idle_deadline(time.monotonic() + limits.head_timeout_s)
+
+    def _count_head_cost(self) -> None:
+        """Count the memory of a head that has not ended."""
+        cost = 0
+        if self._in_head:
+            size = max(self._head_bytes, self._raw_head_bytes)
+            cost = size + HEADER_COST_BYTES * len(self._headers)
+        self._head_cost = cost if cost > FREE_BYTES else 0
+        self._update_account()
+
     def eof_received(self) -> None:
         return None
 
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        self._in_head = True
+        self._in_head = self._message_began = True
         self._head_bytes = 0
+        self._raw_head_bytes = self._lead_bytes
         self._target = b""
         self._headers = []
         self._expects_continue = False
-        if self._idle_deadline is not None:
+        if self._idle_deadline is not None and self._lead_bytes <= MAX_LINE_END_BYTES:
             # A request that begins just before the limit has the full time for its head.
             self._idle_deadline = time.monotonic() + self._listener.limits.head_timeout_s
 
@@ -213,12 +340,16 @@
 
     def _count_head_bytes(self, count: int) -> None:
         self._head_bytes += count
+        self._check_head_bytes()
+
+    def _check_head_bytes(self) -> None:
         limit = self._listener.limits.max_head_bytes
-        if self._head_bytes > limit:
+        if self._head_bytes > limit or self._raw_head_bytes > limit:
             raise _HeadTooLargeError(limit)
 
     def on_headers_complete(self) -> None:
         self._in_head = False
+        self._lead_bytes = 0
         if self._got_last_request:
             return
         parser = self._parser
@@ -243,7 +374,11 @@
             self._waiting.append(request)
 
     def _can_start(self) -> bool:
-        return self._writable_waiter is None and len(self._active) < self._listener.pipeline_limit
+        active = self._active
+        if self._writable_waiter is not None or len(active) >= self._listener.pipeline_limit:
+            return False
+        # Without room, the requests of a connection are served one at a time.
+        return not active or not self._listener.buffers.is_short
 
     def _check_content_length(self) -> None:
         """Reject a body whose announced length is over the limit."""
@@ -258,6 +393,7 @@
         request = self._receiving
         if request is None:
             return
+        self._body_parts += 1
         request.body_size += len(body)
         limit = self._listener.limits.max_body_bytes
         if limit is not None and request.body_size > limit:
@@ -323,15 +459,15 @@
         active = self._active
         while active and active[0].complete and active[0].has_turn:
             done = active.popleft()
+            self.served = True
             if not done.keep_alive:
                 # The caller assumes that requests after this one were not read.
                 self._cancel_requests()
                 self._close()
                 return
             if active:
-                held = active[0].give_turn()
-                if held:
-                    self._transport.write(held)
+                for part in active[0].give_turn():
+                    self.write(part)
                 if active[0].aborted:
                     self._cancel_requests()
                     self._close()
@@ -344,6 +480,12 @@
             return
         while self._waiting and self._can_start():
             self._start_request(self._waiting.popleft())
+            if self._unparsed and not self._waiting:
+                data, self._unparsed = self._unparsed, b""
+                self._parse_pieces(data)
+                self._update_account()
+                if self._transport.is_closing():
+                    return
         if self._closes_when_served and not self._active and not self._waiting:
             self._close()
             return
@@ -357,6 +499,7 @@
         dropped = list(self._active)
         self._active.clear()
         self._waiting.clear()
+        self._unparsed = b""
         for request in dropped:
             request.disconnected = True
             request.wake()
@@ -399,6 +542,7 @@
         """Close the connection now if it is idle, otherwise after the last request being served."""
         self._closes_when_served = True
         self._waiting.clear()
+        self._unparsed = b""
         if not self._active:
             self._close()
 
@@ -415,19 +559,76 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
-        self._transport.write(data)
+        size = len(data)
+        self._written_bytes += size
+        if self._writable_waiter is None:
+            self._pinned_bytes = size
+            self._transport.write(data)
+        else:
+            self._pinned_bytes += size
+            self._transport.write(data)
+            self._update_account()
 
     async def drain(self) -> None:
         """Wait until the transport accepts more bytes."""
         if self._writable_waiter is not None:
             await asyncio.shield(self._writable_waiter)
 
+    def count_held(self, change_bytes: int) -> None:
+        """Change the count of the bytes that the requests hold."""
+        self._held_bytes += change_bytes
+        if self._held_bytes > FREE_BYTES or self._account.held_bytes:
+            self._update_account()
+
+    def _update_account(self) -> None:
+        """Tell the ledger how many bytes this connection holds."""
+        held_bytes = self._held_bytes + self._head_cost + len(self._unparsed)
+        if self._writable_waiter is not None:
+            # A written object stays whole in memory until its last byte is sent.
+            held_bytes += max(self._transport.get_write_buffer_size(), self._pinned_bytes)
+        if held_bytes <= FREE_BYTES:
+            held_bytes = 0
+        if held_bytes != self._account.held_bytes:
+            self._listener.buffers.set_held(self._account, held_bytes)
+
+    @property
+    def stall_s(self) -> float | None:
+        """Return the seconds without movement after which to close, None if nothing is sent."""
+        return None if self._writable_waiter is None else self._listener.limits.idle_timeout_s
+
+    def measure_sent(self) -> int:
+        """Return how many bytes the caller has taken and sent in all."""
+        taken_bytes = self._written_bytes - self._transport.get_write_buffer_size()
+        # The kernel takes bytes in lumps of up to some MB, so a steady reader would seem to pause.
+        return taken_bytes - count_unacknowledged(self._transport) + self._received_bytes
+
+    def cut(self, reason: str) -> None:
+        """Close the connection at once, which frees its bytes."""
+        self._abort()
+
+    def rank_for_replacement(self, *, now: float) -> int | None:
+        """Return how soon this connection may be closed for another one, lowest first, or None.
+
+        A client that has been served may have sent its next request, which has not arrived yet.
+        """
+        if not self._active and not self._waiting and self._idle_deadline is not None:
+            if not self.served:
+                return 0
+            idle_since = self._idle_deadline - self._listener.limits.idle_timeout_s
+            return 1 if now - idle_since >= MIN_REPLACED_IDLE_S else None
+        waits_for_client = (
+            self._in_head or self._receiving is not None or self._writable_waiter is not None
+        )
+        return 2 if waits_for_client and now - self.opened_at >= MIN_REPLACED_IDLE_S else None
+
     def update_reading(self) -> None:
         """Pause reading while a request waits or the body's reader is slow; resume otherwise."""
         if self._transport.is_closing():
             return
         receiving = self._receiving
-        pause = bool(self._waiting) or (receiving is not None and receiving.is_backed_up)
+        pause = bool(self._waiting or self._unparsed) or (
+            receiving is not None and (receiving.is_backed_up or self._must_hold_back())
+        )
         if pause is self._reading_paused:
             return
         self._reading_paused = pause
@@ -436,6 +637,23 @@
         else:
             self._transport.resume_reading()
 
+    def _must_hold_back(self) -> bool:
+        """Tell whether a body that is arriving has to wait until the process holds less."""
+        buffers = self._listener.buffers
+        if not buffers.is_over or not self._account.held_bytes:
+            return False
+        buffers.sources.add(self)
+        return True
+
+    def hold_back(self) -> None:
+        """Stop reading until `let_go`."""
+        self.update_reading()
+
+    def let_go(self) -> None:
+        """Read again."""
+        self._listener.buffers.sources.discard(self)
+        self.update_reading()
+
     # Keep-alive
 
     # Each connection has one timer, which is rescheduled when it fires: creating and cancelling one
@@ -496,7 +714,8 @@
     """Accept connections on one port and serve their requests with a handler.
 
     `pipeline_limit` is how many requests of one connection are served at once; `limits` may be
-    replaced at any time.
+    replaced at any time. Connections above `max_connections` take the place of idle ones, or are
+    closed at once.
     """
 
     def __init__(
@@ -509,8 +728,12 @@
         check_client: CheckClient | None = None,
         on_rejected: Callable[[str], None] | None = None,
         pipeline_limit: int = 1,
+        buffers: Buffers | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self.handler = handler
+        self.buffers = buffers or Buffers()
+        self._max_connections = max_connections
         self.pipeline_limit = pipeline_limit
         self.limits = DEFAULT_LIMITS
         # Set by the owner when it begins to drain: each connection then closes after the response
@@ -535,9 +758,31 @@
             lambda: ServerConnection(self, loop),
             sock=self._socket,
             ssl=self._ssl,
-            backlog=BACKLOG,
+            backlog=min(BACKLOG, max(MIN_BACKLOG, self._max_connections or BACKLOG)),
         )
 
+    def admit(self, connection: ServerConnection) -> bool:
+        """Add a new connection; return False if it has to be closed at once."""
+        if self.buffers.is_over:
+            self.buffers.note_cut("new-connection")
+            return False
+        connections = self.connections
+        if self._max_connections is not None and len(connections) >= self._max_connections:
+            self.buffers.note_cut("descriptors")
+            now = time.monotonic()
+            ranked = [
+                (rank, other.opened_at, id(other), other)
+                for other in connections
+                if (rank := other.rank_for_replacement(now=now)) is not None
+            ]
+            if not ranked:
+                return False
+            replaced = min(ranked)[-1]
+            replaced.abort()
+            connections.discard(replaced)
+        connections.add(connection)
+        return True
+
     @property
     def is_sending(self) -> bool:
         """Tell whether responses that have been made are still being sent."""
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -15,6 +15,7 @@
 from ..calls.inbound import Inbound
 from ..calls.outbound import Outbound
 from ..calls.pool import ConnectionPool
+from ..calls.pressure import Buffers, compute_buffer_limit
 from ..calls.serving import Listener, ServerRequest
 from ..shared.blackboard import Blackboard
 from ..shared.errors import InvalidInputError
@@ -27,7 +28,7 @@
 from .counted import CountedPlatform
 from .instances import Departure, Heartbeat, InstanceTable, LivenessCheck, Verdict
 from .plane import DirectPlane
-from .policies import build_admission_policy, build_buffer_budget, build_call_policy
+from .policies import build_admission_policy, build_call_policy, compute_connection_limits
 from .settings import DirectSettings
 from .supervision import supervise
 
@@ -97,6 +98,7 @@
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
+        buffers: Buffers | None = None,
     ) -> None:
         self.settings = settings
         self.board = board = Blackboard()
@@ -107,15 +109,22 @@
         self._instances = InstanceTable()
         self._liveness = LivenessCheck()
         self.counts = CallCounts()
-        buffers = build_buffer_budget()
+        if buffers is None:
+            buffers = Buffers(limit=compute_buffer_limit(settings.memory_mb))
+        buffers.counts = self.counts
+        self._buffers = buffers
+        limits = compute_connection_limits(settings.max_fds)
         self._peer_pool = ConnectionPool(
             idle_limit_s=PEER_IDLE_LIMIT_S,
             unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
             counts=self.counts,
             own_vm=settings.vm,
+            buffers=buffers,
         )
         self._backend_pool = ConnectionPool(
-            idle_limit_s=BACKEND_IDLE_LIMIT_S, unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S
+            idle_limit_s=BACKEND_IDLE_LIMIT_S,
+            unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
+            buffers=buffers,
         )
         self.plane = DirectPlane(
             settings=settings,
@@ -143,7 +152,7 @@
                 names=names,
                 count_nodes=lambda: board.fleet_size.value,
                 is_current=lambda: self.plane.update_source.is_current,
-            )._replace(buffer_budget=buffers, gate=TenantGate(limiter=NullLimiter())),
+            )._replace(buffers=buffers, gate=TenantGate(limiter=NullLimiter())),
             caller_service=settings.service,
         )
         self._inbound = Inbound(
@@ -159,34 +168,50 @@
             clock=clock,
             policy=build_admission_policy(
                 names=names, link_bytes_per_s=settings.link_bytes_per_s
-            )._replace(buffer_budget=buffers),
+            )._replace(buffers=buffers),
         )
         self._caller_listener = Listener(
             handler=self._outbound,
             host=settings.caller.host,
             port=settings.caller.port,
             pipeline_limit=MAX_PIPELINED_REQUESTS,
+            buffers=buffers,
+            max_connections=limits.caller,
         )
         self._peer_listener = Listener(
-            handler=self._inbound, host=settings.peer.host, port=settings.peer.port
+            handler=self._inbound,
+            host=settings.peer.host,
+            port=settings.peer.port,
+            buffers=buffers,
+            max_connections=limits.peer,
         )
         self._readiness_listener = Listener(
             handler=self._serve_readiness,
             host=settings.readiness.host,
             port=settings.readiness.port,
+            buffers=buffers,
+            max_connections=limits.other,
         )
         self._registry_listener = Listener(
-            handler=self._serve_registry, host=settings.registry.host, port=settings.registry.port
+            handler=self._serve_registry,
+            host=settings.registry.host,
+            port=settings.registry.port,
+            buffers=buffers,
+            max_connections=limits.other,
         )
         self._exchange_listener = Listener(
             handler=self.plane.serve_exchange,
             host=settings.exchange.host,
             port=settings.exchange.port,
+            buffers=buffers,
+            max_connections=limits.exchange,
         )
         self._operations_listener = Listener(
             handler=self._serve_operations,
             host=settings.operations.host,
             port=settings.operations.port,
+            buffers=buffers,
+            max_connections=limits.other,
         )
         self._listeners = (
             self._operations_listener,
@@ -317,6 +342,10 @@
                 "Generation of the configuration in effect.",
                 snapshot.generation if snapshot is not None else 0,
             ),
+            "ibiswick_buffered_bytes": (
+                "Bytes held for callers, other nodes and backend servers.",
+                self._buffers.ledger.used,
+            ),
             "ibiswick_members": ("Known nodes.", self.board.fleet_size.value),
             "ibiswick_store_era": (
                 "Highest era of the object API's store; it rises when the store restores a copy.",
@@ -340,6 +369,7 @@
         body = bytearray()
         while part := await request.read():
             body += part
+            request.keep(len(part))
             if len(body) > MAX_ANNOUNCEMENT_BYTES:
                 break
         response = await self._respond_to_announcement(request.method, request.path, bytes(body))
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -722,6 +722,7 @@
         raw = bytearray()
         while part := await request.read():
             raw += part
+            request.keep(len(part))
             if len(raw) > MAX_EXCHANGE_BYTES:
                 raise AbortResponseError("the exchange message is too large")
         try:
--- a/src/ibiswick/_internal/direct/policies.py
+++ b/src/ibiswick/_internal/direct/policies.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Callable
+from typing import NamedTuple
 
-from ..calls.exchanges import ByteBudget
 from ..calls.heads import HeaderNames
 from ..calls.inbound import AdmissionPolicy
 from ..calls.outbound import CallPolicy
@@ -19,9 +20,6 @@
 # Responses up to this size are buffered until they are complete, so that a failure can still be
 # reported to the caller.
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024
-# Limit for all buffered responses together; the smallest VM gives a process 200 MB, of which it
-# uses 30 MB.
-MAX_BUFFERED_TOTAL_BYTES = 64 * 1024 * 1024
 # Larger bodies are sent only when the other node asks for them; for smaller ones, the round trip
 # costs more.
 EXPECT_CONTINUE_ABOVE_BYTES = 4 * 1024
@@ -33,6 +31,34 @@
 # Bounds only the memory; targets and deadlines limit the wait for a slot.
 QUEUE_LENGTH_PER_SLOT = 8
 
+# Shares of the descriptors of the process that connections of each kind may use. The rest is for
+# connections to other nodes, the backend server and the object API, and for the ports themselves.
+CALLER_SHARE = 0.4
+PEER_SHARE = 0.2
+EXCHANGE_SHARE = 0.05
+OTHER_SHARE = 0.03
+MIN_CONNECTIONS = 8
+
+
+class ConnectionLimits(NamedTuple):
+    """Limit the connections to each port."""
+
+    caller: int
+    peer: int
+    exchange: int
+    other: int
+
+
+def compute_connection_limits(max_fds: int) -> ConnectionLimits:
+    """Divide the descriptors of the process; 0 stands for those that the system allows.
+
+    >>> compute_connection_limits(1000)
+    ConnectionLimits(caller=400, peer=200, exchange=50, other=30)
+    """
+    descriptors = max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    shares = (CALLER_SHARE, PEER_SHARE, EXCHANGE_SHARE, OTHER_SHARE)
+    return ConnectionLimits(*(max(MIN_CONNECTIONS, int(descriptors * share)) for share in shares))
+
 
 def build_call_policy(
     *,
@@ -83,8 +109,3 @@
         max_buffered_body_bytes=MAX_BUFFERED_RESPONSE_BYTES,
         link_bytes_per_s=link_bytes_per_s,
     )
-
-
-def build_buffer_budget() -> ByteBudget:
-    """Build the limit of all buffered responses of a node together."""
-    return ByteBudget(limit=MAX_BUFFERED_TOTAL_BYTES)
--- a/src/ibiswick/_internal/direct/settings.py
+++ b/src/ibiswick/_internal/direct/settings.py
@@ -19,6 +19,8 @@
     * `retry_ratio`, `retry_window_s`, `retry_slack`: limits of the whole fleet. Extra attempts
       within the window are at most the ratio of the calls, plus the slack.
     * `link_bytes_per_s`: the rate of the VM's link, 0 if unknown.
+    * `memory_mb`, `max_fds`: the memory and the descriptors that the VM gives the process, 0 if
+      unknown.
     """
 
     vm: str
@@ -37,3 +39,5 @@
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     link_bytes_per_s: int = 0
+    memory_mb: int = 0
+    max_fds: int = 0
--- a/src/ibiswick/_internal/platform/program.py
+++ b/src/ibiswick/_internal/platform/program.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from ..calls.pool import ConnectionPool, PoolFetch
+from ..calls.pressure import Buffers, compute_buffer_limit
 from ..direct.node import UNACKNOWLEDGED_TIMEOUT_S, DirectNode
 from ..direct.settings import DirectSettings
 from ..shared.boundedlogs import NonBlockingHandler
@@ -57,7 +58,10 @@
         probe_interval_s=STORE_PROBE_S,
     )
     store = settings.store
-    fetch = PoolFetch(pool=store_pool, base_url=f"http://{store.host}:{store.port}")
+    buffers = Buffers(limit=compute_buffer_limit(settings.memory_mb))
+    fetch = PoolFetch(
+        pool=store_pool, base_url=f"http://{store.host}:{store.port}", buffers=buffers
+    )
     node = DirectNode(
         settings=settings,
         platform=Store(fetch=fetch),
@@ -65,6 +69,7 @@
         configuration_key=CONFIGURATION_KEY,
         decode_configuration=decode_configuration,
         decode_announcement=decode_announcement,
+        buffers=buffers,
     )
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/ibiswick/_internal/platform/settings.py
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -66,6 +66,8 @@
         link_bytes_per_s=int(
             reader.read_number(limits, "limits.bandwidth_mbps", 0) * BYTES_PER_MEGABIT
         ),
+        memory_mb=int(reader.read_number(limits, "limits.memory_mb", 0)),
+        max_fds=int(reader.read_number(limits, "limits.max_fds", 0)),
     )
     reader.raise_problems()
     return settings
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from fakes import FakeHolder
+from ibiswick._internal.calls.buffering import BufferAccount, BufferLedger
 from ibiswick._internal.direct.instances import Heartbeat
 from ibiswick._internal.direct.members import NodeRecord
 from ibiswick._internal.direct.settings import DirectSettings
@@ -152,3 +154,13 @@
         seconds=4.0,
     )
     return msgspec.structs.replace(load, **changes)
+
+
+def add_holder(
+    ledger: BufferLedger, held_bytes: int, *, stall_s: float | None = 15.0
+) -> tuple[FakeHolder, BufferAccount]:
+    """Add a connection that holds bytes."""
+    holder = FakeHolder(stall_s=stall_s)
+    account = BufferAccount(holder=holder)
+    ledger.set_held(account, held_bytes, now=0.0)
+    return holder, account
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -164,3 +164,18 @@
         self._notify()
         if self._use_fault("lose_answers", key):
             raise OutcomeUnknownError(f"the response for {key} was lost")
+
+
+class FakeHolder:
+    """Hold bytes of which a party has taken as many as the test says."""
+
+    def __init__(self, *, stall_s: float | None = 15.0) -> None:
+        self.stall_s = stall_s
+        self.sent_bytes = 0
+        self.cuts: list[str] = []
+
+    def measure_sent(self) -> int:
+        return self.sent_bytes
+
+    def cut(self, reason: str) -> None:
+        self.cuts.append(reason)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -17,10 +17,11 @@
 from builders import build_node_record
 from call_network import VirtualLoop, run_virtual
 from direct_network import ENDLESS_RESPONSES, DirectMesh, build_request
+from ibiswick._internal.calls.buffering import BufferLedger
 from ibiswick._internal.calls.connections import MAX_RESPONSE_HEAD_BYTES
-from ibiswick._internal.calls.exchanges import ByteBudget
+from ibiswick._internal.calls.pressure import compute_buffer_limit
 from ibiswick._internal.direct.exchange import EXCHANGE_PATH, ExchangeMessage, encode_message
-from ibiswick._internal.direct.policies import MAX_BUFFERED_RESPONSE_BYTES, MAX_BUFFERED_TOTAL_BYTES
+from ibiswick._internal.direct.policies import MAX_BUFFERED_RESPONSE_BYTES
 from ibiswick._internal.shared.errors import NotSentError, UnacknowledgedError
 
 logbook.NullHandler().push_application()
@@ -101,12 +102,12 @@
     assert statuses <= {502, 503, 504}
     # Three nodes, each for callers and a backend server, share this process with the fake servers.
     assert peak <= MAX_GROWTH_BYTES * 3
-    assert MAX_GROWTH_BYTES >= MAX_BUFFERED_TOTAL_BYTES
+    assert compute_buffer_limit(0) <= MAX_GROWTH_BYTES
 
 
 def test_bodies_that_are_given_up_make_room_for_others() -> None:
-    """Guard against a byte budget that shrinks with each failed response."""
-    budget = ByteBudget(limit=10)
+    """Guard against a buffer ledger that shrinks with each failed response."""
+    budget = BufferLedger(limit=10)
     assert budget.reserve(6)
     assert not budget.reserve(6)
     budget.release(6)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -63,6 +63,9 @@
         if not self.closed:
             self.written += data
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def close(self) -> None:
         self._lose()
 
@@ -762,3 +765,67 @@
         assert refusals.pop(0) in {200, 400, 431, 501}
     assert len(refusals) <= 1
     assert set(refusals) <= {400, 431, 501}
+
+
+# Limits for clients
+
+
+async def test_a_head_within_the_limit_is_served_however_it_is_cut() -> None:
+    """Guard against counting the bytes of a head twice when it arrives in pieces."""
+    server = Server()
+    limit = server.listener.limits.max_head_bytes
+    raw = b"GET /1 HTTP/1.1\r\nhost: shop\r\nx-long: " + b"x" * (limit - 100) + b"\r\n\r\n"
+    for size in (1000, 4096, len(raw)):
+        wire = server.connect()
+        wire.feed(*[raw[start : start + size] for start in range(0, len(raw), size)])
+        await settle()
+        assert [status for status, _ in read_responses(wire)] == [200]
+
+
+async def test_empty_lines_count_towards_the_size_of_a_head() -> None:
+    """Guard against bytes before a request that never end."""
+    server = Server()
+    wire = server.connect()
+    wire.feed(b"\r\n", build_get(b"/1"), b"\r\n" * 100, build_get(b"/2"))
+    await settle()
+    assert read_responses(wire) == [(200, b"/1 "), (200, b"/2 ")]
+    wire = server.connect()
+    wire.feed(*[b"\r\n" * 1000] * 40)
+    assert [status for status, _ in read_responses(wire)] == [431]
+    assert wire.closed
+
+
+async def test_many_pipelined_requests_stay_bytes_until_they_start() -> None:
+    """Guard against the memory of requests that are parsed long before they can start."""
+    server = Server()
+    wire = server.connect()
+    targets = [b"/%d" % number for number in range(2000)]
+    wire.feed(b"".join(build_get(target) for target in targets))
+    assert len(wire.protocol._waiting) < 200
+    await settle(10_000)
+    assert [body for _, body in read_responses(wire)] == [target + b" " for target in targets]
+
+
+async def test_a_new_connection_takes_the_place_of_an_idle_one_only() -> None:
+    """Guard against idle clients that keep others out, and against cutting a running request."""
+    gate = asyncio.Event()
+
+    async def answer_late(request: ServerRequest) -> None:
+        await gate.wait()
+        await echo(request)
+
+    server = Server(answer_late)
+    server.listener._max_connections = 2
+    busy, idle = server.connect(), server.connect()
+    busy.feed(build_get(b"/1"))
+    await settle()
+    newer = server.connect()
+    newer.feed(build_get(b"/2"))
+    await settle()
+    assert (busy.closed, idle.closed, newer.closed) == (False, True, False)
+    refused = server.connect()
+    assert refused.closed
+    gate.set()
+    await settle()
+    assert read_responses(busy) == [(200, b"/1 ")]
+    assert read_responses(newer) == [(200, b"/2 ")]
