Refuse responses that only look complete

Cause: a status below 100 was taken for an interim response, so its call was held until the deadline, or a good 200 behind it was passed on. A 200 without a length was complete at an orderly close of its connection, also while the upload was still being written.

Change: a status below 100 fails the exchange at once (502; the connection is closed and the failure counts for the server).

--- a/src/ibiswick/_internal/calls/connections.py
+++ b/src/ibiswick/_internal/calls/connections.py
@@ -25,6 +25,7 @@
 )
 from .buffering import FREE_BYTES
 from .exchanges import ExchangeLimits, Headers, Request
+from .kernelbuffers import count_unacknowledged
 from .parts import BodyBuffer
 from .pressure import BufferHold, Buffers
 from .requests import MAX_JOINED_BYTES
@@ -41,6 +42,7 @@
 # No allowed length has more digits.
 MAX_CONTENT_LENGTH_DIGITS = 18
 CONTINUE_STATUS = 100
+MIN_STATUS = 100
 MAX_STATUS = 599
 # A request sent this shortly before the server's keep-alive time ends may meet a closed connection.
 KEEP_ALIVE_MARGIN_S = 0.5
@@ -252,10 +254,21 @@
     def eof_received(self) -> None:
         response = self._response
         if response is not None and response.has_head and self._is_close_delimited:
+            if self._is_sending():
+                # The server has not seen the whole request, so it has not chosen this end.
+                self.fail(ResponseLostError("the server closed the connection during the request"))
+                return
             response.complete = True
             self._not_reusable = True
             self._finish(response)
 
+    def _is_sending(self) -> bool:
+        """Tell whether a part of the request has not reached the server."""
+        transport = self._transport
+        if self._sender is not None or transport is None:
+            return True
+        return transport.get_write_buffer_size() > 0 or count_unacknowledged(transport) > 0
+
     # Parser callbacks
 
     def on_message_begin(self) -> None:
@@ -279,6 +292,9 @@
         if response is None or parser is None or response.complete:
             return
         status = parser.get_status_code()
+        if status < MIN_STATUS:
+            # Taken for an interim response, it would hold the call until its deadline.
+            raise ValueError(f"the status {status:03} does not exist")
         if status < 200:
             return
         if status > MAX_STATUS:
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -64,7 +64,8 @@
     """Run calls as their path demands, and record which ran.
 
     The last part of a path is a behaviour: `ok`, `slow`, `shed`, `fail`, `unsigned`, `crash`,
-    `unframed`, `cut-unframed`, `extra`, or `late-extra`, which sends a second response later.
+    `odd-status`, `unframed`, `cut-unframed`, `extra`, or `late-extra`, which sends a second
+    response later.
     `fail-then-shed` fails a call on the first of the backend servers that share `failed_attempts`,
     and sheds it after that. `shed-repeatedly-then-run` sheds the first attempt of a call and sends
     further copies of that response, and runs the next attempt. Behaviours in `ENDLESS_RESPONSES`
@@ -172,6 +173,9 @@
     def _respond(self, behaviour: str, attempt: str, content: bytes) -> None:
         if behaviour == "crash":
             self._transport.abort()
+        elif behaviour == "odd-status":
+            self._write("000 Odd", attempt, b"")
+            self._write("200 OK", attempt, content)
         elif behaviour == "fail":
             self._write("500 Failed", attempt, b"")
         elif behaviour in ENDLESS_RESPONSES:
--- a/tests/test_call_sockets.py
+++ b/tests/test_call_sockets.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import hashlib
+import socket
 import ssl
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 
@@ -489,6 +491,147 @@
     backend.stop()
 
 
+@pytest.mark.parametrize("rest", [b"", OK], ids=["alone", "ahead-of-a-response"])
+@pytest.mark.parametrize("status", [b"000", b"001", b"099"])
+async def test_a_status_below_100_raises_response_lost_at_once(
+    pool: ConnectionPool, status: bytes, rest: bytes
+) -> None:
+    """Guard against a status that does not exist but is taken for an interim response."""
+
+    async def answer_raw(exchange: Exchange) -> None:
+        exchange.writer.write(b"HTTP/1.1 %b Odd\r\ncontent-length: 0\r\n\r\n" % status + rest)
+
+    backend = RawBackend(answer_raw)
+    port = await backend.start()
+    loop = asyncio.get_running_loop()
+    with pytest.raises(ResponseLostError) as caught:
+        await exchange_once(pool, port, deadline=loop.time() + 2.0)
+    assert not isinstance(caught.value, ExchangeTimeoutError)
+    assert pool.count_idle(Remote("127.0.0.1", port)) == 0
+    backend.stop()
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nok"
+UNFRAMED_HEADS = {
+    "http-1.1": UNFRAMED,
+    "http-1.0": UNFRAMED.replace(b"1.1", b"1.0"),
+    "close": UNFRAMED.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"),
+}
+
+
+async def _upload(
+    pool: ConnectionPool, port: int, parts: AsyncIterator[bytes], *, method: bytes = b"PUT"
+) -> bytes:
+    """Upload a body that has no end of its own, and read the response without a length."""
+    loop = asyncio.get_running_loop()
+    head = method + b" /upload/1 HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n"
+    limits = ExchangeLimits(deadline=loop.time() + 5.0, allow_close_delimited=True)
+    remote = Remote("127.0.0.1", port)
+    response = await pool.exchange(remote, Request(head, stream=parts, chunked=True), limits)
+    body = b""
+    while part := await response.read():
+        body += part
+    return body
+
+
+async def _send_slowly() -> AsyncIterator[bytes]:
+    while True:
+        yield b"x" * 1000
+        await asyncio.sleep(0.005)
+
+
+async def _send_fast() -> AsyncIterator[bytes]:
+    while True:
+        yield b"x" * 100_000
+
+
+@pytest.mark.parametrize("sender", [_send_slowly, _send_fast])
+@pytest.mark.parametrize("end", ["shutdown", "close", "reset"])
+@pytest.mark.parametrize("raw", UNFRAMED_HEADS.values(), ids=UNFRAMED_HEADS)
+async def test_a_response_without_length_that_ends_during_an_upload_is_not_complete(
+    pool: ConnectionPool, raw: bytes, end: str, sender: Callable[[], AsyncIterator[bytes]]
+) -> None:
+    """Guard against the end of a connection that is taken for the end of a response.
+
+    A server that ends while a body is still sent has not seen the request. A write that fails must
+    not hide a reset, either.
+    """
+
+    async def end_early(exchange: Exchange) -> None:
+        await exchange.reader.read(100)
+        exchange.writer.write(raw)
+        await asyncio.sleep(0.02)
+        if end == "shutdown":
+            exchange.writer.write_eof()
+            await asyncio.sleep(0.2)
+        elif end == "reset":
+            raw_socket = exchange.writer.get_extra_info("socket")
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            exchange.writer.transport.abort()
+        raise ConnectionError
+
+    backend = RawBackend(end_early)
+    port = await backend.start()
+    with pytest.raises(ResponseLostError):
+        await _upload(pool, port, sender())
+    backend.stop()
+
+
+@pytest.mark.parametrize("raw", UNFRAMED_HEADS.values(), ids=UNFRAMED_HEADS)
+async def test_a_response_without_length_after_the_upload_is_complete(
+    pool: ConnectionPool, raw: bytes
+) -> None:
+    """Guard against the refusal of a response that ends where its server says so."""
+
+    async def answer_unframed(exchange: Exchange) -> None:
+        await exchange.read_body()
+        exchange.writer.write(raw)
+        raise ConnectionError
+
+    async def send_little() -> AsyncIterator[bytes]:
+        yield b"x" * 200_000
+
+    backend = RawBackend(answer_unframed)
+    port = await backend.start()
+    assert await _upload(pool, port, send_little()) == b"ok"
+    backend.stop()
+
+
+@pytest.mark.parametrize("shape", ["head", "no-content", "length"])
+async def test_a_framed_response_during_an_upload_is_complete(
+    pool: ConnectionPool, shape: str
+) -> None:
+    """Guard against the refusal of a response that ends by its own framing."""
+    responses = {"head": OK.removesuffix(b"ok"), "no-content": b"HTTP/1.1 204 No\r\n\r\n"}
+
+    async def answer_early(exchange: Exchange) -> None:
+        exchange.writer.write(responses.get(shape, OK))
+        await exchange.reader.read()
+
+    backend = RawBackend(answer_early)
+    port = await backend.start()
+    loop = asyncio.get_running_loop()
+    head = b"PUT /upload/1 HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n"
+    request_with_body = Request(head, stream=_send_slowly(), chunked=True, is_head=shape == "head")
+    limits = ExchangeLimits(deadline=loop.time() + 5.0, allow_close_delimited=True)
+    response = await pool.exchange(Remote("127.0.0.1", port), request_with_body, limits)
+    assert await response.read() == (b"ok" if shape == "length" else b"")
+    assert response.complete
+    backend.stop()
+
+
+@pytest.mark.parametrize("target", [b"/status/1", b"/upload/1"])
+async def test_a_status_below_100_is_502_over_both_hops(site: Site, target: bytes) -> None:
+    """Guard against a call that is held until its deadline for a status that does not exist."""
+
+    async def answer_raw(exchange: Exchange) -> None:
+        exchange.writer.write(b"HTTP/1.1 000 Odd\r\n\r\n" + OK)
+
+    site.backend.handler = answer_raw
+    client = await site.call(b"POST " + target + b" HTTP/1.1\r\nhost: shop\r\n\r\n")
+    assert client.status == 502
+
+
 async def test_connections_are_limited_and_a_failed_connect_raises_not_sent(
     pool: ConnectionPool,
 ) -> None:
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -125,6 +125,19 @@
     assert client.complete
 
 
+def test_a_status_that_does_not_exist_is_502_at_once() -> None:
+    """Guard against a call that waits for its deadline, and against the response behind it."""
+
+    async def scenario(mesh: DirectMesh) -> tuple[Client, float]:
+        started = mesh.loop.time()
+        client = await mesh.call(0, "/book/1/odd-status", "a1", method="POST")
+        return client, mesh.loop.time() - started
+
+    client, elapsed_s = run_mesh(scenario)
+    assert client.status == 502
+    assert elapsed_s < 0.5
+
+
 @pytest.mark.parametrize("behaviour", ["extra", "late-extra"])
 def test_an_extra_response_reaches_nobody(behaviour: str) -> None:
     """Guard against bytes of no call that are mistaken for the response to another call."""
