--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -17,6 +17,7 @@
     "ibiswick_hedges_total": "Hedged attempts, by result.",
     "ibiswick_ejections_total": "Ejections and readmissions of endpoints, by event.",
     "ibiswick_requests_rejected_total": "Malformed or unsupported requests, by code.",
+    "ibiswick_cut_total": "Connections closed and bodies given up for want of room, by reason.",
     "ibiswick_crossing_bytes_total": "Bytes to and from other availability zones, by purpose.",
     "ibiswick_limit_tokens_total": "Calls of tenants with a limit, by result.",
     "ibiswick_limit_datagrams_total": "Datagrams about limits, by kind.",
--- a/src/ibiswick/_internal/calls/dataplane.py
+++ b/src/ibiswick/_internal/calls/dataplane.py
@@ -24,6 +24,7 @@
 from .inbound import AdmissionPolicy, Inbound
 from .outbound import CallPolicy, Outbound
 from .pool import ConnectionPool, PoolFetch
+from .pressure import Buffers
 from .serving import Listener, ServerRequest
 
 METRICS_FORMAT = "text/plain"
@@ -105,6 +106,7 @@
         self._counts = CallCounts()
         self._watcher = BackendWatcher(board=board)
         self._tasks: list[asyncio.Task[None]] = []
+        buffers = Buffers(counts=self._counts)
         tls = settings.tls
         server_tls = build_server_context(tls) if tls else None
         caller_tls = build_server_context(tls, require_client=False) if tls else None
@@ -113,8 +115,9 @@
             idle_limit_s=PEER_IDLE_LIMIT_S,
             ssl_context=client_tls,
             check_certificate=self._check_server if tls else None,
+            buffers=buffers,
         )
-        self._backend = ConnectionPool(idle_limit_s=BACKEND_IDLE_LIMIT_S)
+        self._backend = ConnectionPool(idle_limit_s=BACKEND_IDLE_LIMIT_S, buffers=buffers)
         uses_tls = urlsplit(settings.platform.url).scheme == "https"
         self._platform = ConnectionPool(
             idle_limit_s=PLATFORM_IDLE_LIMIT_S, ssl_context=client_tls if uses_tls else None
@@ -151,6 +154,7 @@
             port=settings.caller.port,
             ssl_context=caller_tls,
             on_rejected=self._note_rejected,
+            buffers=buffers,
         )
         self._peer = Listener(
             handler=self._inbound,
@@ -159,12 +163,14 @@
             ssl_context=server_tls,
             check_client=self._check_client if tls else None,
             on_rejected=self._note_rejected,
+            buffers=buffers,
         )
         self._operations = Listener(
             handler=self._serve_operations,
             host=settings.operations.host,
             port=settings.operations.port,
             ssl_context=caller_tls,
+            buffers=buffers,
         )
 
     @property
--- a/src/ibiswick/_internal/calls/retries.py
+++ b/src/ibiswick/_internal/calls/retries.py
@@ -67,9 +67,9 @@
 class WindowedRetryBudget:
     """Limit extra attempts to a share of the calls in a sliding window plus `slack`.
 
-    `slack` returns this node's part of a fixed number of extra attempts for the whole fleet. Half of
-    it is granted over the first window after `started_at`, since an earlier process of the node may
-    have just used it.
+    `slack` returns this node's part of a fixed number of extra attempts for the whole fleet. Half
+    of it is granted over the first window after `started_at`, since an earlier process of the node
+    may have just used it.
 
     >>> window = WindowedRetryBudget(ratio=0.5, window_s=10.0, slack=lambda: 1.0)
     >>> window.note_call(now=0.0)
--- a/src/ibiswick/_internal/calls/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -7,46 +7,62 @@
 from __future__ import annotations
 
 import asyncio
-import http
 import socket
 import ssl
 import time
-import urllib.parse
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import httptools
-import msgspec
 
 from ..shared.logs import EventLog
 from ..shared.records import CallerLimits
-from .parts import BodyBuffer
+from .buffering import FREE_BYTES
+from .kernelbuffers import count_unacknowledged
+from .pressure import Buffers
+from .requests import (
+    REQUEST_HIGH_WATER_BYTES,
+    STATUS_LINES,
+    AbortResponseError,
+    ServerRequest,
+    encode_problem,
+    read_problem_detail,
+)
+
+__all__ = [
+    "REQUEST_HIGH_WATER_BYTES",
+    "AbortResponseError",
+    "Listener",
+    "ServerConnection",
+    "ServerRequest",
+    "encode_problem",
+    "read_problem_detail",
+]
 
 DEFAULT_LIMITS = CallerLimits()
 KEEP_ALIVE_S = DEFAULT_LIMITS.idle_timeout_s
 BACKLOG = 1024
+# With a shorter backlog, a burst of clients waits for the retransmission of its handshakes.
+# Connections that are closed at once use descriptors until then, at most as many as the backlog.
+MIN_BACKLOG = 128
+# Larger pieces of what has arrived are parsed one after the other, so that pipelined requests which
+# can't be started stay bytes.
+PIECE_BYTES = 4 * 1024
+BODY_PIECE_BYTES = 64 * 1024
+MAX_PARTS_IN_PIECE = 64
+# Memory of a header besides its bytes: a tuple and two objects.
+HEADER_COST_BYTES = 128
+# Some clients send a line end behind a body, which does not begin a request.
+MAX_LINE_END_BYTES = 4
 MAX_REQUEST_HEAD_BYTES = DEFAULT_LIMITS.max_head_bytes
-# Reading pauses while more than this many bytes of a request's body are buffered.
-REQUEST_HIGH_WATER_BYTES = 64 * 1024
-# A handler pauses while more than this many bytes of its response wait for earlier responses.
-HELD_HIGH_WATER_BYTES = 64 * 1024
 SHUTDOWN_LIMIT_S = 5
-
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_STATUS_LINES = {
-    status.value: b"HTTP/1.1 %d %b\r\n" % (status.value, status.phrase.encode())
-    for status in http.HTTPStatus
-}
-_BODILESS_STATUSES = (204, 304)
+# As long as other nodes reuse a connection for a call that must not run twice.
+MIN_REPLACED_IDLE_S = 1.0
 
 _log = EventLog(component="serving")
 
 
-class AbortResponseError(Exception):
-    """Abort a response that has begun and can't be completed."""
-
-
 class _RejectedRequestError(Exception):
     """Report a request that is refused without reaching the handler."""
 
@@ -71,281 +87,6 @@
         super().__init__(501, "upgrade-unsupported", "upgrades are not supported")
 
 
-def encode_problem(code: str, detail: str) -> bytes:
-    """Encode the body of a response made by ibiswick."""
-    return msgspec.json.encode({"code": code, "detail": detail})
-
-
-def read_problem_detail(body: bytes) -> str:
-    """Return the detail of a response made by ibiswick, or nothing if it is malformed.
-
-    >>> read_problem_detail(encode_problem("not-run", "no free slot"))
-    'no free slot'
-    """
-    try:
-        problem = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return ""
-    return str(problem.get("detail", "")) if isinstance(problem, dict) else ""
-
-
-class ServerRequest(BodyBuffer):
-    """Hold one request and send its response.
-
-    `target` is the path with the query as received, `path` the decoded path. Header names are in
-    lower case. Headers of a response are not checked: they come from a strict parser or from this
-    package.
-    """
-
-    __slots__ = (
-        "_chunked",
-        "_connection",
-        "_expects_continue",
-        "_held_bytes",
-        "_held_head_end",
-        "_held_parts",
-        "_pending_head",
-        "_turn_waiter",
-        "_unsent_bytes",
-        "aborted",
-        "body_arrived",
-        "body_size",
-        "complete",
-        "disconnected",
-        "has_turn",
-        "headers",
-        "keep_alive",
-        "method",
-        "path",
-        "started",
-        "target",
-        "task",
-    )
-
-    def __init__(
-        self,
-        connection: ServerConnection,
-        *,
-        method: str,
-        target: bytes,
-        headers: list[tuple[bytes, bytes]],
-        keep_alive: bool,
-        expects_continue: bool,
-    ) -> None:
-        super().__init__()
-        path = target.partition(b"?")[0].decode("latin-1")
-        self.method = method
-        self.target = target
-        self.path = urllib.parse.unquote(path) if "%" in path else path
-        self.headers = headers
-        self.keep_alive = keep_alive
-        self.body_arrived = False
-        self.started = False
-        self.complete = False
-        self.disconnected = False
-        # The handler ended without a complete response; the connection closes after earlier ones.
-        self.aborted = False
-        # Every earlier response on the connection has been sent.
-        self.has_turn = False
-        self.body_size = 0
-        self.task: asyncio.Task[None] | None = None
-        self._held_parts: list[bytes] = []
-        self._held_bytes = 0
-        # Index in `_held_parts` at which the last line of a held head belongs.
-        self._held_head_end: int | None = None
-        self._turn_waiter: asyncio.Future[None] | None = None
-        self._connection = connection
-        self._expects_continue = expects_continue
-        self._pending_head: tuple[int, list[tuple[bytes, bytes]]] | None = None
-        self._chunked = False
-        self._unsent_bytes = 0
-
-    # Body
-
-    @property
-    def at_end(self) -> bool:
-        """Tell whether the whole body has been read."""
-        return self.body_arrived and not self._parts
-
-    @property
-    def is_backed_up(self) -> bool:
-        """Tell whether so much of the body is unread that reading must pause."""
-        return self._size_bytes > REQUEST_HIGH_WATER_BYTES
-
-    def add(self, part: bytes) -> None:
-        """Buffer a part of the body until it is read."""
-        if self.complete or self.disconnected:
-            # The handler has responded without reading the rest, or the caller disconnected.
-            return
-        self._parts.append(part)
-        self._size_bytes += len(part)
-
-    def read_available(self) -> bytes:
-        """Return the part of the body that has arrived, without waiting."""
-        if not self._parts:
-            return b""
-        body = self._pop_all()
-        if not self.body_arrived:
-            self._connection.update_reading()
-        return body
-
-    async def read(self) -> bytes:
-        """Return the next part of the body, or nothing at its end.
-
-        Raise AbortResponseError if the caller has disconnected.
-        """
-        while not self._parts:
-            if self.disconnected:
-                raise AbortResponseError("the caller disconnected")
-            if self.body_arrived:
-                return b""
-            if self._expects_continue and not self.started:
-                self._expects_continue = False
-                self._send(_CONTINUE)
-            self._waiter = self._connection.loop.create_future()
-            await self._waiter
-        return self.read_available()
-
-    @property
-    def may_lack_body(self) -> bool:
-        """Tell whether the caller may omit the body, so that the next bytes could be misread."""
-        return self._expects_continue and not self.body_arrived
-
-    # Response
-
-    def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        """Send a whole response; raise AbortResponseError if its length does not match."""
-        if self.disconnected:
-            return
-        head = self._build_head(status, headers, len(body))
-        self._send(self._frame(body, more=False), head=head)
-        self._finish_response()
-
-    def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Set the head of a response, which is sent with the first part of its body."""
-        self._pending_head = (status, headers)
-
-    async def write(self, part: bytes) -> None:
-        """Send a part of the body, and wait while the caller reads slowly."""
-        if self.disconnected:
-            return
-        head = self._pop_pending_head()
-        self._send(self._frame(part, more=True), head=head)
-        if not self.has_turn and self._held_bytes > HELD_HIGH_WATER_BYTES:
-            await self.wait_turn()
-        await self._connection.drain()
-
-    def finish(self) -> None:
-        """End the body; raise AbortResponseError if its length does not match."""
-        if self.disconnected:
-            return
-        head = self._pop_pending_head()
-        self._send(self._frame(b"", more=False), head=head)
-        self._finish_response()
-
-    # Order of responses
-
-    async def wait_turn(self) -> None:
-        """Wait until every earlier response on the connection has been sent.
-
-        If an earlier response closes the connection, the caller repeats this request, so one that
-        must not run twice must wait here before it starts.
-        """
-        while not self.has_turn:
-            if self.disconnected:
-                raise AbortResponseError("the caller disconnected")
-            if self._turn_waiter is None:
-                self._turn_waiter = self._connection.loop.create_future()
-            await asyncio.shield(self._turn_waiter)
-
-    def give_turn(self) -> bytes:
-        """Allow this response to be sent, and return the bytes of it that were held back."""
-        self.has_turn = True
-        if self._held_head_end is not None:
-            self._held_parts.insert(self._held_head_end, self._end_head())
-            self._held_head_end = None
-        held = b"".join(self._held_parts)
-        self._held_parts.clear()
-        self._held_bytes = 0
-        self.wake_turn()
-        return held
-
-    def wake_turn(self) -> None:
-        """Wake the handler if it waits for its turn."""
-        turn, self._turn_waiter = self._turn_waiter, None
-        if turn is not None and not turn.done():
-            turn.set_result(None)
-
-    def _send(self, data: bytes, *, head: bytes = b"") -> None:
-        """Send data, behind a head if it is the first of the response, or hold it back."""
-        if self.has_turn:
-            if head:
-                head += self._end_head()
-            if head or data:
-                self._connection.write(head + data)
-            return
-        if head:
-            self._held_parts.append(head)
-            self._held_head_end = len(self._held_parts)
-        self._held_parts.append(data)
-        self._held_bytes += len(head) + len(data)
-
-    def _pop_pending_head(self) -> bytes:
-        head, self._pending_head = self._pending_head, None
-        return self._build_head(*head, None) if head is not None else b""
-
-    def _end_head(self) -> bytes:
-        """Return the end of the head, which tells whether the connection closes.
-
-        Call this only when the head is sent: until then, further requests may arrive and start,
-        and they are owed a response as well.
-        """
-        self.keep_alive = not self._connection.settle_close(self)
-        return b"\r\n" if self.keep_alive else b"connection: close\r\n\r\n"
-
-    def _build_head(
-        self, status: int, headers: list[tuple[bytes, bytes]], length: int | None
-    ) -> bytes:
-        """Build the head up to its last line; `length` is None if the body is sent in parts."""
-        self.started = True
-        parts = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
-        has_length = False
-        for name, value in headers:
-            if name == b"content-length":
-                has_length = True
-                self._unsent_bytes = int(value)
-            elif name == b"connection" and value == b"close":
-                self.keep_alive = False
-                continue
-            parts += (name, b": ", value, b"\r\n")
-        if not has_length and self.method != "HEAD" and status not in _BODILESS_STATUSES:
-            if length is None:
-                self._chunked = True
-                parts.append(b"transfer-encoding: chunked\r\n")
-            else:
-                self._unsent_bytes = length
-                parts.append(b"content-length: %d\r\n" % length)
-        return b"".join(parts)
-
-    def _frame(self, body: bytes, *, more: bool) -> bytes:
-        """Frame a part of the body; raise AbortResponseError if the length does not match."""
-        if self.method == "HEAD":
-            return b""
-        if self._chunked:
-            end = b"" if more else b"0\r\n\r\n"
-            return b"%x\r\n%b\r\n%b" % (len(body), body, end) if body else end
-        self._unsent_bytes -= len(body)
-        if self._unsent_bytes < 0 or (not more and self._unsent_bytes):
-            raise AbortResponseError("the body differs from its announced length")
-        return body
-
-    def _finish_response(self) -> None:
-        self.complete = True
-        self._parts.clear()
-        self._size_bytes = 0
-        self._connection.end_response(self)
-
-
 Handler = Callable[[ServerRequest], Awaitable[None]]
 CheckClient = Callable[[dict[str, Any] | None], bool]
 
@@ -354,26 +95,39 @@
     """Serve the requests of one connection, and cancel their tasks when the caller disconnects."""
 
     __slots__ = (
+        "_account",
         "_active",
+        "_body_parts",
         "_close_announced",
         "_closes_when_served",
         "_expects_continue",
         "_got_last_request",
         "_head_bytes",
+        "_head_cost",
         "_headers",
+        "_held_bytes",
         "_idle_deadline",
         "_in_head",
+        "_lead_bytes",
         "_listener",
+        "_message_began",
         "_parser",
+        "_pinned_bytes",
+        "_raw_head_bytes",
         "_reading_paused",
+        "_received_bytes",
         "_receiving",
         "_target",
         "_timer",
         "_timer_fires_at",
         "_transport",
+        "_unparsed",
         "_waiting",
         "_writable_waiter",
+        "_written_bytes",
         "loop",
+        "opened_at",
+        "served",
     )
 
     def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop) -> None:
@@ -403,12 +157,34 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_fires_at = 0.0
         self._idle_deadline: float | None = None
+        # Bytes that arrived behind requests that can't be started yet.
+        self._unparsed = b""
+        # Bytes that arrived since the last request without beginning another one.
+        self._lead_bytes = 0
+        # Bytes of the present head, without those of its first and last piece.
+        self._raw_head_bytes = 0
+        self._message_began = False
+        # Bytes of bodies and responses that the requests hold.
+        self._held_bytes = 0
+        # Memory of a head that has not ended.
+        self._head_cost = 0
+        # Bytes of the written objects of which a part may be unsent.
+        self._pinned_bytes = 0
+        self._written_bytes = 0
+        self._body_parts = 0
+        self._received_bytes = 0
+        self._account = listener.buffers.open_account(self)
+        self.opened_at = time.monotonic()
+        # Whether a request has been answered.
+        self.served = False
 
     # Transport callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
-        self._listener.connections.add(self)
+        if not self._listener.admit(self):
+            self._transport.abort()
+            return
         check = self._listener.check_client
         if check is not None and not check(transport.get_extra_info("peercert")):
             client = transport.get_extra_info("peername")
@@ -423,14 +199,21 @@
             self._timer.cancel()
             self._timer = None
         self._wake_writer()
+        if self._account.held_bytes:
+            self._listener.buffers.set_held(self._account, 0)
+        self._held_bytes = self._head_cost = self._pinned_bytes = 0
+        self._listener.buffers.sources.discard(self)
         self._parser = None  # type: ignore[assignment]
         self._listener.forget(self)
 
     def pause_writing(self) -> None:
         self._writable_waiter = self.loop.create_future()
+        self._update_account()
 
     def resume_writing(self) -> None:
         self._wake_writer()
+        self._pinned_bytes = 0
+        self._update_account()
         self._start_next()
 
     def _wake_writer(self) -> None:
@@ -439,14 +222,57 @@
             writable.set_result(None)
 
     def data_received(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        if self._unparsed:
+            self._unparsed += data
+        elif len(data) <= PIECE_BYTES:
+            self._parse(data)
+        else:
+            self._parse_pieces(data)
+
+    def _parse_pieces(self, data: bytes) -> None:
+        """Parse what has arrived, up to requests that can't be started yet."""
+        start, size = 0, PIECE_BYTES
+        while start < len(data) and not self._got_last_request:
+            parts_before = self._body_parts
+            self._parse(data[start : start + size])
+            start += size
+            if self._waiting:
+                self._unparsed = data[start:]
+                self._update_account()
+                return
+            if self._body_parts - parts_before > MAX_PARTS_IN_PIECE and start < len(data):
+                # Parsing many small parts takes long, and other connections must have their turn.
+                self._unparsed = data[start:]
+                self._update_account()
+                self.update_reading()
+                self.loop.call_soon(self._parse_rest)
+                return
+            size = PIECE_BYTES if self._receiving is None else BODY_PIECE_BYTES
+
+    def _parse_rest(self) -> None:
+        """Go on with what has arrived, unless requests wait to be started first."""
+        if self._waiting or self._transport.is_closing():
+            return
+        data, self._unparsed = self._unparsed, b""
+        self._parse_pieces(data)
+        self._update_account()
+        self.update_reading()
+
+    def _parse(self, data: bytes) -> None:
         if self._got_last_request or self._transport.is_closing():
             return
         was_in_head = self._in_head
+        is_lead = not was_in_head and self._receiving is None
+        self._message_began = False
         try:
             self._parser.feed_data(data)
             if was_in_head and self._in_head:
                 # The parser reports a header only when it is complete.
-                self._count_head_bytes(len(data))
+                self._raw_head_bytes += len(data)
+                self._check_head_bytes()
+            elif is_lead and not self._message_began:
+                self._count_lead(len(data))
         except httptools.HttpParserUpgrade:
             self._reject(_UpgradeError())
         except (httptools.HttpParserError, _RejectedRequestError) as error:
@@ -455,22 +281,47 @@
         else:
             if self._receiving is not None:
                 self._receiving.wake()
-            if self._in_head and not was_in_head and not self._active:
+            if self._in_head or self._head_cost:
+                self._count_head_cost()
+            if self._in_head and not was_in_head and not self._active and not self._lead_bytes:
                 self._set_idle_deadline(time.monotonic() + self._listener.limits.head_timeout_s)
             self.update_reading()
 
+    def _count_lead(self, count: int) -> None:
+        """Count bytes before a request, such as empty lines, towards the size and time of a head.
+
+        Raise _HeadTooLargeError if they exceed the limit.
+        """
+        began_before = self._lead_bytes > MAX_LINE_END_BYTES
+        self._lead_bytes += count
+        limits = self._listener.limits
+        if self._lead_bytes > limits.max_head_bytes:
+            raise _HeadTooLargeError(limits.max_head_bytes)
+        if not began_before and self._lead_bytes > MAX_LINE_END_BYTES and not self._active:
+            self._set_idle_deadline(time.monotonic() + limits.head_timeout_s)
+
+    def _count_head_cost(self) -> None:
+        """Count the memory of a head that has not ended."""
+        cost = 0
+        if self._in_head:
+            size = max(self._head_bytes, self._raw_head_bytes)
+            cost = size + HEADER_COST_BYTES * len(self._headers)
+        self._head_cost = cost if cost > FREE_BYTES else 0
+        self._update_account()
+
     def eof_received(self) -> None:
         return None
 
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        self._in_head = True
+        self._in_head = self._message_began = True
         self._head_bytes = 0
+        self._raw_head_bytes = self._lead_bytes
         self._target = b""
         self._headers = []
         self._expects_continue = False
-        if self._idle_deadline is not None:
+        if self._idle_deadline is not None and self._lead_bytes <= MAX_LINE_END_BYTES:
             # A request that begins just before the limit has the full time for its head.
             self._idle_deadline = time.monotonic() + self._listener.limits.head_timeout_s
 
@@ -489,12 +340,16 @@
 
     def _count_head_bytes(self, count: int) -> None:
         self._head_bytes += count
+        self._check_head_bytes()
+
+    def _check_head_bytes(self) -> None:
         limit = self._listener.limits.max_head_bytes
-        if self._head_bytes > limit:
+        if self._head_bytes > limit or self._raw_head_bytes > limit:
             raise _HeadTooLargeError(limit)
 
     def on_headers_complete(self) -> None:
         self._in_head = False
+        self._lead_bytes = 0
         if self._got_last_request:
             return
         parser = self._parser
@@ -519,7 +374,11 @@
             self._waiting.append(request)
 
     def _can_start(self) -> bool:
-        return self._writable_waiter is None and len(self._active) < self._listener.pipeline_limit
+        active = self._active
+        if self._writable_waiter is not None or len(active) >= self._listener.pipeline_limit:
+            return False
+        # Without room, the requests of a connection are served one at a time.
+        return not active or not self._listener.buffers.is_short
 
     def _check_content_length(self) -> None:
         """Reject a body whose announced length is over the limit."""
@@ -534,6 +393,7 @@
         request = self._receiving
         if request is None:
             return
+        self._body_parts += 1
         request.body_size += len(body)
         limit = self._listener.limits.max_body_bytes
         if limit is not None and request.body_size > limit:
@@ -599,15 +459,15 @@
         active = self._active
         while active and active[0].complete and active[0].has_turn:
             done = active.popleft()
+            self.served = True
             if not done.keep_alive:
                 # The caller assumes that requests after this one were not read.
                 self._cancel_requests()
                 self._close()
                 return
             if active:
-                held = active[0].give_turn()
-                if held:
-                    self._transport.write(held)
+                for part in active[0].give_turn():
+                    self.write(part)
                 if active[0].aborted:
                     self._cancel_requests()
                     self._close()
@@ -620,6 +480,12 @@
             return
         while self._waiting and self._can_start():
             self._start_request(self._waiting.popleft())
+            if self._unparsed and not self._waiting:
+                data, self._unparsed = self._unparsed, b""
+                self._parse_pieces(data)
+                self._update_account()
+                if self._transport.is_closing():
+                    return
         if self._closes_when_served and not self._active and not self._waiting:
             self._close()
             return
@@ -633,6 +499,7 @@
         dropped = list(self._active)
         self._active.clear()
         self._waiting.clear()
+        self._unparsed = b""
         for request in dropped:
             request.disconnected = True
             request.wake()
@@ -658,7 +525,7 @@
         head = (
             b"%bcontent-type: application/json\r\ncontent-length: %d\r\nconnection: close\r\n\r\n"
         )
-        self._transport.write(head % (_STATUS_LINES[error.status], len(body)) + body)
+        self._transport.write(head % (STATUS_LINES[error.status], len(body)) + body)
         self._close()
 
     def _abort(self) -> None:
@@ -675,6 +542,7 @@
         """Close the connection now if it is idle, otherwise after the last request being served."""
         self._closes_when_served = True
         self._waiting.clear()
+        self._unparsed = b""
         if not self._active:
             self._close()
 
@@ -691,19 +559,76 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
-        self._transport.write(data)
+        size = len(data)
+        self._written_bytes += size
+        if self._writable_waiter is None:
+            self._pinned_bytes = size
+            self._transport.write(data)
+        else:
+            self._pinned_bytes += size
+            self._transport.write(data)
+            self._update_account()
 
     async def drain(self) -> None:
         """Wait until the transport accepts more bytes."""
         if self._writable_waiter is not None:
             await asyncio.shield(self._writable_waiter)
 
+    def count_held(self, change_bytes: int) -> None:
+        """Change the count of the bytes that the requests hold."""
+        self._held_bytes += change_bytes
+        if self._held_bytes > FREE_BYTES or self._account.held_bytes:
+            self._update_account()
+
+    def _update_account(self) -> None:
+        """Tell the ledger how many bytes this connection holds."""
+        held_bytes = self._held_bytes + self._head_cost + len(self._unparsed)
+        if self._writable_waiter is not None:
+            # A written object stays whole in memory until its last byte is sent.
+            held_bytes += max(self._transport.get_write_buffer_size(), self._pinned_bytes)
+        if held_bytes <= FREE_BYTES:
+            held_bytes = 0
+        if held_bytes != self._account.held_bytes:
+            self._listener.buffers.set_held(self._account, held_bytes)
+
+    @property
+    def stall_s(self) -> float | None:
+        """Return the seconds without movement after which to close, None if nothing is sent."""
+        return None if self._writable_waiter is None else self._listener.limits.idle_timeout_s
+
+    def measure_sent(self) -> int:
+        """Return how many bytes the caller has taken and sent in all."""
+        taken_bytes = self._written_bytes - self._transport.get_write_buffer_size()
+        # The kernel takes bytes in lumps of up to some MB, so a steady reader would seem to pause.
+        return taken_bytes - count_unacknowledged(self._transport) + self._received_bytes
+
+    def cut(self, reason: str) -> None:
+        """Close the connection at once, which frees its bytes."""
+        self._abort()
+
+    def rank_for_replacement(self, *, now: float) -> int | None:
+        """Return how soon this connection may be closed for another one, lowest first, or None.
+
+        A client that has been served may have sent its next request, which has not arrived yet.
+        """
+        if not self._active and not self._waiting and self._idle_deadline is not None:
+            if not self.served:
+                return 0
+            idle_since = self._idle_deadline - self._listener.limits.idle_timeout_s
+            return 1 if now - idle_since >= MIN_REPLACED_IDLE_S else None
+        waits_for_client = (
+            self._in_head or self._receiving is not None or self._writable_waiter is not None
+        )
+        return 2 if waits_for_client and now - self.opened_at >= MIN_REPLACED_IDLE_S else None
+
     def update_reading(self) -> None:
         """Pause reading while a request waits or the body's reader is slow; resume otherwise."""
         if self._transport.is_closing():
             return
         receiving = self._receiving
-        pause = bool(self._waiting) or (receiving is not None and receiving.is_backed_up)
+        pause = bool(self._waiting or self._unparsed) or (
+            receiving is not None and (receiving.is_backed_up or self._must_hold_back())
+        )
         if pause is self._reading_paused:
             return
         self._reading_paused = pause
@@ -712,6 +637,23 @@
         else:
             self._transport.resume_reading()
 
+    def _must_hold_back(self) -> bool:
+        """Tell whether a body that is arriving has to wait until the process holds less."""
+        buffers = self._listener.buffers
+        if not buffers.is_over or not self._account.held_bytes:
+            return False
+        buffers.sources.add(self)
+        return True
+
+    def hold_back(self) -> None:
+        """Stop reading until `let_go`."""
+        self.update_reading()
+
+    def let_go(self) -> None:
+        """Read again."""
+        self._listener.buffers.sources.discard(self)
+        self.update_reading()
+
     # Keep-alive
 
     # Each connection has one timer, which is rescheduled when it fires: creating and cancelling one
@@ -772,7 +714,8 @@
     """Accept connections on one port and serve their requests with a handler.
 
     `pipeline_limit` is how many requests of one connection are served at once; `limits` may be
-    replaced at any time.
+    replaced at any time. Connections above `max_connections` take the place of idle ones, or are
+    closed at once.
     """
 
     def __init__(
@@ -785,8 +728,12 @@
         check_client: CheckClient | None = None,
         on_rejected: Callable[[str], None] | None = None,
         pipeline_limit: int = 1,
+        buffers: Buffers | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self.handler = handler
+        self.buffers = buffers or Buffers()
+        self._max_connections = max_connections
         self.pipeline_limit = pipeline_limit
         self.limits = DEFAULT_LIMITS
         # Set by the owner when it begins to drain: each connection then closes after the response
@@ -811,9 +758,31 @@
             lambda: ServerConnection(self, loop),
             sock=self._socket,
             ssl=self._ssl,
-            backlog=BACKLOG,
+            backlog=min(BACKLOG, max(MIN_BACKLOG, self._max_connections or BACKLOG)),
         )
 
+    def admit(self, connection: ServerConnection) -> bool:
+        """Add a new connection; return False if it has to be closed at once."""
+        if self.buffers.is_over:
+            self.buffers.note_cut("new-connection")
+            return False
+        connections = self.connections
+        if self._max_connections is not None and len(connections) >= self._max_connections:
+            self.buffers.note_cut("descriptors")
+            now = time.monotonic()
+            ranked = [
+                (rank, other.opened_at, id(other), other)
+                for other in connections
+                if (rank := other.rank_for_replacement(now=now)) is not None
+            ]
+            if not ranked:
+                return False
+            replaced = min(ranked)[-1]
+            replaced.abort()
+            connections.discard(replaced)
+        connections.add(connection)
+        return True
+
     @property
     def is_sending(self) -> bool:
         """Tell whether responses that have been made are still being sent."""
--- a/src/ibiswick/_internal/platform/settings.py
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -68,6 +68,8 @@
             reader.read_number(limits, "limits.bandwidth_mbps", 0) * BYTES_PER_MEGABIT
         ),
         limits=peer._replace(port=limits_port),
+        memory_mb=int(reader.read_number(limits, "limits.memory_mb", 0)),
+        max_fds=int(reader.read_number(limits, "limits.max_fds", 0)),
     )
     reader.raise_problems()
     return settings
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from fakes import FakeHolder
+from ibiswick._internal.calls.buffering import BufferAccount, BufferLedger
 from ibiswick._internal.calls.exchanges import Headers
 from ibiswick._internal.calls.repeats import UrgencyProfile
 from ibiswick._internal.configuration.schemas import CREDENTIAL_PREFIX
@@ -194,3 +196,13 @@
 def build_repeat_headers() -> Headers:
     """Build the headers of a request that claims to be a repeat."""
     return [(b"host", b"dukkan"), (b"ibiswick-repeat", b"1")]
+
+
+def add_holder(
+    ledger: BufferLedger, held_bytes: int, *, stall_s: float | None = 15.0
+) -> tuple[FakeHolder, BufferAccount]:
+    """Add a connection that holds bytes."""
+    holder = FakeHolder(stall_s=stall_s)
+    account = BufferAccount(holder=holder)
+    ledger.set_held(account, held_bytes, now=0.0)
+    return holder, account
