Move the calls of a service to another version in steps

Cause: an operator may order that the traffic of a service moves to backend servers of another version by a deadline. The product ignored versions, and mixed a new one with the others at once.

Change: heartbeats, records and endpoints carry the version. Readers follow the orders; nodes beside backend servers report what they observe to one node, which raises the share of the new version step by step, writes each step to the status, and rolls back a version that answers worse than the other one at the same time. Other nodes learn steps from a header of the exchanges. Nodes hold back a backend server of a new version until it is known whether an order exists, and refuse calls of a version that may run none. Only deployments whose settings name the policy take part.

Two tests of the object API compared whole stored objects, which now have a status; they name it.

--- a/src/ibiswick/_internal/calls/balance.py
+++ b/src/ibiswick/_internal/calls/balance.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from ..shared.records import Endpoint, ServicePolicy
@@ -247,14 +247,18 @@
         exclude: tuple[EndpointState, ...] = (),
         prefers_local: bool = False,
         target_s: float | None = None,
+        admits: Callable[[Endpoint], bool] | None = None,
     ) -> EndpointState | None:
         """Choose the endpoint that is most likely to complete a call of a route in time.
 
         `target_s` is the time left to the call's target. Without a target, or after it, choose the
         endpoint that will probably complete the call first. An endpoint in `exclude` is chosen only
-        if there is no other, and an ejected one only if all are ejected.
+        if there is no other, and an ejected one only if all are ejected. Only endpoints that
+        `admits` accepts are chosen, whatever their state.
         """
-        known = self._states.values()
+        known = list(self._states.values())
+        if admits is not None:
+            known = [state for state in known if admits(state.endpoint)]
         admitted = [s for s in known if s not in self._ejected] if self._ejected else list(known)
         states = (
             [s for s in admitted if s not in exclude]
--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -16,6 +16,9 @@
     "ibiswick_ejections_total": "Ejections and readmissions of endpoints, by event.",
     "ibiswick_requests_rejected_total": "Malformed or unsupported requests, by code.",
     "ibiswick_crossing_bytes_total": "Bytes to and from other availability zones, by purpose.",
+    "ibiswick_rollout_calls_total": "Calls under a roll-out, by the version that was drawn.",
+    "ibiswick_rollout_answers_total": "Answers of warm backend servers, by version and result.",
+    "ibiswick_rollout_steps_total": "Steps of roll-outs that this node decided, by state.",
     "ibiswick_platform_calls_total": "Calls to the object API by method, kind and result.",
 }
 _HISTOGRAM_DOCS = {
--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -97,6 +97,10 @@
     buffer_budget: ByteBudget | None = None
     # Rate of this VM's link, 0 if unknown.
     link_bytes_per_s: int = 0
+    # Tells whether the version of the backend server may run calls.
+    allows_version: Callable[[], bool] = lambda: True
+    # Gets the route, the duration and whether it failed, for each call that was run.
+    observe_call: Callable[[str, float, bool], None] = lambda route_id, seconds, failed: None
 
 
 DEFAULT_POLICY = AdmissionPolicy()
@@ -215,6 +219,8 @@
             reason = "leaving"
         elif head.service != instance.service.encode():
             reason = "service"
+        elif not self._policy.allows_version():
+            reason = "version"
         if not reason:
             return None
         self._counts.add("ibiswick_refused_total", "reason", reason)
@@ -467,6 +473,7 @@
         It counts when the response was forwarded or did not arrive in time.
         """
         deadline = slot_request.deadline
+        started_at = self._clock()
         if body.received_early:
             pass
         elif head.expects_continue:
@@ -492,12 +499,15 @@
             max_body_bytes=self._policy.max_buffered_body_bytes or None,
         )
         forwarded_request = self._build_request(request, head, body, deadline)
+        is_refused = False
         try:
             response = await self._exchange(self._remote, forwarded_request, limits)
             response_head = read_response_head(response.headers, response.status, names)
             answer = await self._build_replacement(response, response_head)
+            # Such a call has not run, and says nothing about the version.
+            is_refused = response_head.not_run or response.status == 421
             if answer is None:
-                self._record_result(response.status >= 500)
+                self._record_result(response.status >= 500, slot_request.route_id, started_at)
                 await self._forward_response(
                     request, response, response_head, id_headers, slot_request.route_id, arrived_at
                 )
@@ -510,7 +520,7 @@
             answer = build_unknown_answer(str(error), timed_out=True)
         except ResponseLostError as error:
             answer = build_unknown_answer(str(error), timed_out=False)
-        self._record_result(True)
+        self._record_result(True, slot_request.route_id, None if is_refused else started_at)
         self._log_outcome(head, answer)
         self._counts.add("ibiswick_peer_calls_total", "result", answer.code)
         send_answer(request, answer, self._add_load_header(id_headers, slot_request.route_id))
@@ -632,8 +642,10 @@
         )
         return [*id_headers, (LOAD_HEADER, format_load(load))]
 
-    def _record_result(self, failed: bool) -> None:
+    def _record_result(self, failed: bool, route_id: str, started_at: float | None) -> None:
         self._failed_share += FAILED_SHARE_WEIGHT * (failed - self._failed_share)
+        if started_at is not None:
+            self._policy.observe_call(route_id, self._clock() - started_at, failed)
 
     def _build_request(
         self, request: ServerRequest, head: RequestHead, body: RequestBody, deadline: float | None
--- a/src/ibiswick/_internal/calls/outbound.py
+++ b/src/ibiswick/_internal/calls/outbound.py
@@ -83,6 +83,7 @@
 from .routes import RouteTable, has_dot_segment
 from .serving import AbortResponseError, ServerRequest, read_problem_detail
 from .splits import Splits
+from .versions import VersionRule, Versions
 
 # A connection that has been silent for longer may be closed or cut off, and a call that must not
 # run twice could not be sent again.
@@ -205,6 +206,7 @@
         "target",
         "timed_out",
         "tried",
+        "version_rule",
     )
 
     def __init__(
@@ -245,6 +247,8 @@
         self.maybe_ran = False
         self.timed_out = False
         self.tried: tuple[EndpointState, ...] = ()
+        # Which versions may run the call; None until it is drawn and without a roll-out.
+        self.version_rule: VersionRule | None = None
 
 
 class ServiceState:
@@ -288,6 +292,9 @@
         self._upload_idle_s = upload_idle_s
         self._rng = rng or random.Random()
         self._splits = Splits(rng=self._rng)
+        self._versions = Versions(
+            shares=board.version_shares, endpoints=board.endpoints, rng=self._rng, counts=counts
+        )
         self._clock = clock or time.monotonic
         self._snapshot: Snapshot | None = None
         self._endpoints_version = -1
@@ -641,11 +648,16 @@
 
     def _choose(self, call: Call, balancer: Balancer, now: float) -> EndpointState | None:
         """Choose an endpoint; after the last poll, the one with the shortest expected wait."""
-        if call.refusals and call.polls_left == 0:
+        call.version_rule = self._versions.draw(
+            call.service_name, call.version_rule, is_first=not call.tried
+        )
+        admits = call.version_rule.admits if call.version_rule is not None else None
+        refusals = call.refusals
+        if admits is not None:
+            refusals = [item for item in refusals if admits(item[1].endpoint)]
+        if refusals and call.polls_left == 0:
             local_extra_wait_s = self._compute_local_extra_wait(call, now)
-            return balancer.choose_shortest_wait(
-                call.refusals, local_extra_wait_s=local_extra_wait_s
-            )
+            return balancer.choose_shortest_wait(refusals, local_extra_wait_s=local_extra_wait_s)
         if not self._policy.max_polls:
             return balancer.choose(now=now, rng=self._rng, exclude=call.tried)
         return balancer.choose_by_estimate(
@@ -655,6 +667,7 @@
             exclude=call.tried,
             prefers_local=call.route.get("prefers_local", False),
             target_s=_compute_target_left(call, now),
+            admits=admits,
         )
 
     def _compute_local_extra_wait(self, call: Call, now: float) -> float:
--- a/src/ibiswick/_internal/direct/counted.py
+++ b/src/ibiswick/_internal/direct/counted.py
@@ -8,7 +8,7 @@
 from ..calls.callcounts import CallCounts
 from ..shared.blackboard import Cell
 from ..shared.errors import PlatformError
-from ..shared.objectapi import Listing, Platform, StoredObject
+from ..shared.objectapi import Listing, StatusPlatform, StoredObject
 
 METRIC = "ibiswick_platform_calls_total"
 
@@ -24,7 +24,7 @@
     """
 
     def __init__(
-        self, *, platform: Platform, counts: CallCounts, era: Cell[int] | None = None
+        self, *, platform: StatusPlatform, counts: CallCounts, era: Cell[int] | None = None
     ) -> None:
         self._platform = platform
         self._counts = counts
@@ -55,6 +55,11 @@
         """Write one object and return its version."""
         return await self._count("put", key, self._platform.put(key, value, expected=expected))
 
+    async def put_status(self, key: str, status: Any, *, value: Any, expected: int) -> int:
+        """Write the status of an object at a version; return the object's new version."""
+        call = self._platform.put_status(key, status, value=value, expected=expected)
+        return await self._count("put-status", key, call)
+
     async def delete(self, key: str, *, expected: int | None = None) -> None:
         """Delete one object; a missing one is no error."""
         await self._count("delete", key, self._platform.delete(key, expected=expected))
--- a/src/ibiswick/_internal/direct/instances.py
+++ b/src/ibiswick/_internal/direct/instances.py
@@ -27,6 +27,9 @@
     leaving: bool
     born: int
     sequence: int
+    version: str = ""
+    # Seconds for which the backend server is still slow after its start, None if unknown.
+    warmup_left_s: float | None = None
 
 
 class Departure(NamedTuple):
@@ -105,7 +108,12 @@
         leaving = heartbeat.leaving or (is_same and current is not None and current.leaving)
         self._sequence = heartbeat.sequence
         self.current = LocalInstance(
-            heartbeat.instance, heartbeat.service, heartbeat.slots, heartbeat.born, leaving
+            heartbeat.instance,
+            heartbeat.service,
+            heartbeat.slots,
+            heartbeat.born,
+            leaving,
+            heartbeat.version,
         )
         if not is_same:
             return Verdict.NEW
--- a/src/ibiswick/_internal/direct/members.py
+++ b/src/ibiswick/_internal/direct/members.py
@@ -26,6 +26,7 @@
       process restarts.
     * `read_ms`: approximate duration of the node's first read of the configuration, 0 if unknown.
     * `link_bytes_per_s`: rate of the VM's link, 0 if unknown.
+    * `version`: version of the backend server, empty if it announces none.
     """
 
     vm: str
@@ -43,6 +44,7 @@
     leaving: bool = False
     read_ms: int = 0
     link_bytes_per_s: int = 0
+    version: str = ""
 
     @property
     def order(self) -> tuple[int, int]:
@@ -157,6 +159,7 @@
                 record.slots,
                 True,
                 record.link_bytes_per_s,
+                record.version,
             )
             found.setdefault(record.service, []).append(endpoint)
         return {service: tuple(endpoints) for service, endpoints in found.items()}
--- a/src/ibiswick/_internal/direct/node.py
+++ b/src/ibiswick/_internal/direct/node.py
@@ -7,7 +7,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from ..calls.callcounts import CallCounts
 from ..calls.exchanges import Remote
@@ -16,11 +16,12 @@
 from ..calls.outbound import Outbound
 from ..calls.pool import ConnectionPool
 from ..calls.serving import Listener, ServerRequest
+from ..rollouts.records import RolloutDecoder
 from ..shared.blackboard import Blackboard
 from ..shared.errors import InvalidInputError
 from ..shared.logs import EventLog
 from ..shared.metrics import define_gauge, render_metrics
-from ..shared.objectapi import Platform
+from ..shared.objectapi import StatusPlatform
 from ..shared.records import BackendHealth, LocalInstance, Phase
 from ..tenants.gate import NullLimiter, TenantGate
 from .configuration import ConfigurationDecoder
@@ -89,11 +90,12 @@
         self,
         *,
         settings: DirectSettings,
-        platform: Platform,
+        platform: StatusPlatform,
         names: HeaderNames,
         configuration_key: str,
         decode_configuration: ConfigurationDecoder,
         decode_announcement: AnnouncementDecoder,
+        rollout_decoder: RolloutDecoder | None = None,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
@@ -124,6 +126,7 @@
             pool=self._peer_pool,
             configuration_key=configuration_key,
             decode=decode_configuration,
+            rollout_decoder=rollout_decoder,
             counts=self.counts,
             rng=rng,
             clock=clock,
@@ -159,8 +162,10 @@
             clock=clock,
             policy=build_admission_policy(
                 names=names, link_bytes_per_s=settings.link_bytes_per_s
-            )._replace(buffer_budget=buffers),
+            )._replace(buffer_budget=buffers, **self._build_version_hooks()),
         )
+        if self.plane.rollouts is not None:
+            self.plane.rollouts.queue = self._inbound.queue
         self._caller_listener = Listener(
             handler=self._outbound,
             host=settings.caller.host,
@@ -198,6 +203,12 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _build_version_hooks(self) -> dict[str, Any]:
+        rollouts = self.plane.rollouts
+        if rollouts is None:
+            return {}
+        return {"allows_version": rollouts.allows_calls, "observe_call": rollouts.observe_call}
+
     # Lifecycle
 
     async def run(self) -> None:
@@ -333,6 +344,10 @@
         }
         for name, (doc, value) in gauges.items():
             define_gauge(name, doc).set({}, value)
+        for service, share in self.board.version_shares.value.items():
+            doc = "Share of a service's calls for the version under a roll-out."
+            labels = {"service": service, "version": share.version}
+            define_gauge("ibiswick_rollout_share", doc).set(labels, share.share)
 
     # Registry
 
@@ -358,6 +373,8 @@
         if isinstance(announcement, Heartbeat):
             verdict = self._instances.note_heartbeat(announcement)
             self._liveness.note_heartbeat(announcement, now=self._clock())
+            if self.plane.rollouts is not None:
+                self.plane.rollouts.note_heartbeat(announcement)
         else:
             now_ms = int(self._wall_clock() * 1000)
             verdict = self._instances.note_departure(announcement, now_ms=now_ms)
@@ -421,6 +438,8 @@
         current = self._instances.current
         if current is not None and not current.leaving and not self._is_known_to_run(current):
             return
+        if self.plane.rollouts is not None:
+            self.plane.rollouts.note_instance(current)
         self.board.instance.set(current)
 
     def _is_known_to_run(self, instance: LocalInstance) -> bool:
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -10,10 +10,11 @@
 from typing import Any
 
 from ..calls.callcounts import CallCounts
-from ..calls.exchanges import ExchangeLimits, Remote, Request, read_body
+from ..calls.exchanges import ExchangeLimits, ExchangeResponse, Remote, Request, read_body
 from ..calls.pool import ConnectionPool
 from ..calls.serving import AbortResponseError, ServerRequest
-from ..shared.blackboard import Blackboard
+from ..rollouts.records import RolloutDecoder
+from ..shared.blackboard import Blackboard, Cell
 from ..shared.errors import (
     ConflictError,
     ExchangeError,
@@ -21,7 +22,7 @@
     PlatformError,
 )
 from ..shared.logs import EventLog
-from ..shared.objectapi import MUST_NOT_EXIST, Listing, Platform, StoredObject
+from ..shared.objectapi import MUST_NOT_EXIST, Listing, StatusPlatform, StoredObject
 from ..shared.records import LocalInstance
 from .configuration import ConfigurationDecoder, ConfigurationHolder
 from .exchange import (
@@ -36,6 +37,7 @@
 from .follower import NEVER
 from .members import MemberTable, NodeRecord, parse_record, select_durable_fields
 from .reading import CONCURRENT_POLLS, MEMBERS_PREFIX, OBJECT_API_SOURCE, UpdateSource
+from .rollouts import ROLLOUT_PATH, RolloutController
 from .settings import DirectSettings
 from .supervision import supervise
 
@@ -94,10 +96,11 @@
         *,
         settings: DirectSettings,
         board: Blackboard,
-        platform: Platform,
+        platform: StatusPlatform,
         pool: ConnectionPool,
         configuration_key: str,
         decode: ConfigurationDecoder,
+        rollout_decoder: RolloutDecoder | None = None,
         counts: CallCounts | None = None,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
@@ -147,6 +150,22 @@
             rng=self._rng,
             clock=clock,
         )
+        # None where no roll-outs can be ordered.
+        self.rollouts: RolloutController | None = None
+        if settings.follows_rollouts and rollout_decoder is not None:
+            self.rollouts = RolloutController(
+                vm=settings.vm,
+                board=board,
+                platform=platform,
+                decoder=rollout_decoder,
+                members=self._members,
+                source=self.update_source,
+                send=self._send_to_path,
+                process_start_ms=self._process_start_ms,
+                counts=self._counts,
+                rng=self._rng,
+                clock=clock,
+            )
         self._own_record = self._build_own(None)
         self._earlier_order = (0, 0)
         self._members.merge([self._own_record], now=clock())
@@ -165,6 +184,8 @@
                 ("announce", self._write_own_entry_on_change),
                 ("exchange", self._exchange_forever),
                 ("era", self._follow_era),
+                ("hold", self._follow_holds_back),
+                *(self.rollouts.list_controllers() if self.rollouts is not None else ()),
             )
         ]
 
@@ -355,7 +376,12 @@
             self._earlier_order = record.order
             self._board.earlier_instance.set(
                 LocalInstance(
-                    record.instance, record.service, record.slots, record.born, record.leaving
+                    record.instance,
+                    record.service,
+                    record.slots,
+                    record.born,
+                    record.leaving,
+                    record.version,
                 )
             )
             self._update_own_record()
@@ -381,7 +407,7 @@
 
     def _build_own(self, instance: LocalInstance | None) -> NodeRecord:
         settings = self._settings
-        accepts = self._board.accepts_peer_calls.value
+        accepts = self._board.accepts_peer_calls.value and not self._board.holds_back.value
         accepting = instance is not None and not instance.leaving and accepts
         return NodeRecord(
             settings.vm,
@@ -399,6 +425,7 @@
             instance is not None and instance.leaving,
             self.update_source.read_ms,
             settings.link_bytes_per_s,
+            instance.version if instance is not None else "",
         )
 
     def _update_own_record_if_announced(self) -> None:
@@ -464,6 +491,13 @@
             self._update_own_record()
             await cell.wait_change(version)
 
+    async def _follow_holds_back(self) -> None:
+        cell = self._board.holds_back
+        while True:
+            version = cell.version
+            self._update_own_record_if_announced()
+            await cell.wait_change(version)
+
     async def _follow_accepts_peers(self) -> None:
         accepts = self._board.accepts_peer_calls
         while accepts.value:
@@ -489,6 +523,9 @@
     def _is_own_entry_outdated(self) -> bool:
         if not self._own_record.instance:
             return False
+        if self._board.holds_back.value and not self._own_record.leaving:
+            # Nobody may send calls yet, and the entry that follows would need a second write.
+            return False
         stored = self._stored_entries.get(MEMBERS_PREFIX + self._own_record.vm)
         if stored is None:
             return True
@@ -682,20 +719,30 @@
     ) -> tuple[ExchangeMessage, float | None]:
         """Return the response and the age of the configuration that it names."""
         body = encode_message(message)
+        response, raw = await self._send_to_path(record, EXCHANGE_PATH, body, timeout_s)
+        if self.rollouts is not None:
+            self.rollouts.apply_headers(response.headers, source=record.vm)
+        return decode_message(raw), find_configuration_age_s(response.headers)
+
+    async def _send_to_path(
+        self, record: NodeRecord, path: str, body: bytes, timeout_s: float
+    ) -> tuple[ExchangeResponse, bytes]:
+        """Send a request to the exchange port of a node; return the response and its body."""
+        headers = self.rollouts.build_headers() if self.rollouts is not None else []
+        lines = b"".join(b"%b: %b\r\n" % pair for pair in headers)
         head = (
-            f"POST {EXCHANGE_PATH} HTTP/1.1\r\n"
-            f"host: {record.host}\r\ncontent-length: {len(body)}\r\n\r\n"
-        )
+            f"POST {path} HTTP/1.1\r\n" f"host: {record.host}\r\ncontent-length: {len(body)}\r\n"
+        ).encode() + lines
         # Exchanges wait for a handshake as long as for a response: on a full link, a shorter limit
         # would make every connection fail.
         limits = ExchangeLimits(self._clock() + timeout_s, connect_timeout_s=timeout_s)
-        request = Request(head.encode(), body)
+        request = Request(head + b"\r\n", body)
         response = await self._pool.exchange(_get_exchange_address(record), request, limits)
         raw = await read_body(response, limit=MAX_EXCHANGE_BYTES)
         if record.availability_zone != self._settings.availability_zone:
             size_bytes = len(head) + len(body) + len(raw)
             self._counts.add("ibiswick_crossing_bytes_total", "purpose", "exchange", size_bytes)
-        return decode_message(raw), find_configuration_age_s(response.headers)
+        return response, raw
 
     async def _wait_for_update(self, message: ExchangeMessage) -> None:
         """Wait for a newer configuration, for as long as the request allows.
@@ -709,13 +756,20 @@
             or message.configuration_digest != self.configuration.delta_base_digest
         ):
             return
-        snapshot = self._board.snapshot
+        cells: list[Cell[Any]] = [self._board.snapshot]
+        if self.rollouts is not None:
+            cells.append(self._board.version_shares)
+        waits = [asyncio.ensure_future(cell.wait_change(cell.version)) for cell in cells]
+        # After the time there is nothing newer; the response confirms that.
         try:
-            async with asyncio.timeout(min(message.long_poll_s, MAX_LONG_POLL_S)):
-                await snapshot.wait_change(snapshot.version)
-        except TimeoutError:
-            # There is nothing newer; the response confirms that.
-            return
+            await asyncio.wait(
+                waits,
+                timeout=min(message.long_poll_s, MAX_LONG_POLL_S),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            for wait in waits:
+                wait.cancel()
 
     async def serve_exchange(self, request: ServerRequest) -> None:
         """Respond to a message of another node."""
@@ -724,6 +778,11 @@
             raw += part
             if len(raw) > MAX_EXCHANGE_BYTES:
                 raise AbortResponseError("the exchange message is too large")
+        if self.rollouts is not None:
+            self.rollouts.apply_headers(request.headers, source="exchange")
+            if request.path == ROLLOUT_PATH:
+                await self.rollouts.serve(request, bytes(raw))
+                return
         try:
             message = decode_message(bytes(raw))
         except MessageError as error:
@@ -739,6 +798,8 @@
         holds_at = self.update_source.configuration_holds_at
         if holds_at != NEVER:
             headers.append(build_configuration_age_header(received_at - holds_at))
+        if self.rollouts is not None:
+            headers += self.rollouts.build_headers()
         request.respond(200, headers, encode_message(response))
 
 
--- a/src/ibiswick/_internal/direct/reading.py
+++ b/src/ibiswick/_internal/direct/reading.py
@@ -25,7 +25,7 @@
 from .exchange import ExchangeMessage
 from .follower import NEVER, WATCH_TIMEOUT_S, Follower
 from .members import MemberTable, NodeRecord
-from .readers import ReaderSelector, round_up_to_read_ms
+from .readers import ReaderSelector, choose_readers, round_up_to_read_ms
 from .supervision import supervise
 
 MEMBERS_PREFIX = "meshnodes/"
@@ -420,6 +420,15 @@
             return True
         return now - self._confirmed_at > UNCONFIRMED_LIMIT_S and not self.is_starting
 
+    def list_readers(self) -> list[NodeRecord]:
+        """Return the nodes that follow the object API unless it or they fail."""
+        records = list(self._members.records.values())
+        if self._needs_no_readers():
+            return records
+        zones = {record.availability_zone for record in records}
+        chosen = (choose_readers(records, availability_zone=z, excluded=()) for z in sorted(zones))
+        return [record for readers in chosen for record in readers]
+
     def _needs_no_readers(self) -> bool:
         return len(self._members.records) < LARGE_FLEET_NODES and not self._configuration.is_large
 
--- a/src/ibiswick/_internal/direct/settings.py
+++ b/src/ibiswick/_internal/direct/settings.py
@@ -19,6 +19,8 @@
     * `retry_ratio`, `retry_window_s`, `retry_slack`: limits of the whole fleet. Extra attempts
       within the window are at most the ratio of the calls, plus the slack.
     * `link_bytes_per_s`: the rate of the VM's link, 0 if unknown.
+    * `follows_rollouts`: operators may order roll-outs. Nodes then read orders, which costs calls
+      to the object API.
     """
 
     vm: str
@@ -37,3 +39,4 @@
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     link_bytes_per_s: int = 0
+    follows_rollouts: bool = False
--- a/src/ibiswick/_internal/platform/fields.py
+++ b/src/ibiswick/_internal/platform/fields.py
@@ -69,6 +69,10 @@
             self.add_problem(path, "a non-empty string", value)
         return value or ""
 
+    def read_optional_text(self, table: Any, path: str) -> str:
+        """Read a string that may be missing or empty."""
+        return self._read_field(table, path, str, "a string", "") or ""
+
     def read_integer(
         self, table: Any, path: str, default: Any = _MISSING, *, minimum: int = 0
     ) -> int:
--- a/src/ibiswick/_internal/platform/program.py
+++ b/src/ibiswick/_internal/platform/program.py
@@ -19,6 +19,7 @@
 from .configuration import CONFIGURATION_KEY, decode_configuration
 from .headers import HEADER_NAMES
 from .registry import decode_announcement
+from .rollouts import RolloutObjects
 from .settings import find_path, load_direct_settings
 from .store import Store
 
@@ -65,6 +66,7 @@
         configuration_key=CONFIGURATION_KEY,
         decode_configuration=decode_configuration,
         decode_announcement=decode_announcement,
+        rollout_decoder=RolloutObjects(),
     )
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/ibiswick/_internal/platform/registry.py
+++ b/src/ibiswick/_internal/platform/registry.py
@@ -56,11 +56,17 @@
         leaving=state == "draining",
         born=reader.read_integer(value, "born", 0),
         sequence=reader.read_integer(value, "sequence"),
+        version=reader.read_optional_text(value, "version"),
+        warmup_left_s=(
+            reader.read_seconds(value, "warmup_left") if _has_field(value, "warmup_left") else None
+        ),
     )
-    # Only validated: the node knows its address and availability zone, and measures the durations
-    # of calls.
+    # Only validated: the node knows its address and availability zone.
     reader.read_text(value, "address")
     reader.read_text(value, "zone")
-    reader.read_seconds(value, "warmup_left", "0s")
     reader.raise_problems()
     return heartbeat
+
+
+def _has_field(value: Any, name: str) -> bool:
+    return isinstance(value, dict) and name in value
--- a/src/ibiswick/_internal/platform/settings.py
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -14,6 +14,8 @@
 PATH_VARIABLE = "IBISWICK_NODE_FILE"
 # The settings file has no port for metrics; deploy/system.toml uses this one.
 METRICS_PORT = 9464
+# Named in the list `policies` of the settings file where operators may order roll-outs.
+ROLLOUT_POLICY = "rollout"
 BYTES_PER_MEGABIT = 1_000_000 // 8
 
 
@@ -66,6 +68,7 @@
         link_bytes_per_s=int(
             reader.read_number(limits, "limits.bandwidth_mbps", 0) * BYTES_PER_MEGABIT
         ),
+        follows_rollouts=ROLLOUT_POLICY in reader.read_list(document, "policies", []),
     )
     reader.raise_problems()
     return settings
--- a/src/ibiswick/_internal/platform/store.py
+++ b/src/ibiswick/_internal/platform/store.py
@@ -48,6 +48,7 @@
 class _Object(msgspec.Struct):
     metadata: _Metadata
     spec: Any = None
+    status: Any = None
 
 
 class _Event(msgspec.Struct):
@@ -186,10 +187,22 @@
                 f"{error.code}: {error.detail}", retry_after_s=RETRY_AFTER_S
             ) from error
 
+    async def put_status(self, key: str, status: Any, *, value: Any, expected: int) -> int:
+        """Write the status of an object at a version; return the object's new version."""
+        metadata = {"name": key.partition("/")[2], "revision": expected}
+        target = _build_path(key) + "/status"
+        return await self._write_object("PUT", target, metadata, value, key, status)
+
     async def _write_object(
-        self, method: str, target: str, metadata: dict[str, Any], value: Any, key: str
+        self,
+        method: str,
+        target: str,
+        metadata: dict[str, Any],
+        value: Any,
+        key: str,
+        status: Any = None,
     ) -> int:
-        body = msgspec.json.encode({"metadata": metadata, "spec": value, "status": None})
+        body = msgspec.json.encode({"metadata": metadata, "spec": value, "status": status})
         response = await self._send_write(method, target, body)
         if response.status not in (200, 201):
             _raise_write_failure(response, key)
@@ -229,7 +242,9 @@
         found = msgspec.json.decode(raw, type=_Object)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
-    return StoredObject(f"{kind}/{found.metadata.name}", found.metadata.revision, found.spec)
+    return StoredObject(
+        f"{kind}/{found.metadata.name}", found.metadata.revision, found.spec, found.status
+    )
 
 
 def _decode_event(kind: str, raw: msgspec.Raw) -> StoredObject | None:
@@ -240,7 +255,7 @@
         return None
     metadata = event.object.metadata
     value = None if event.deleted else event.object.spec
-    return StoredObject(f"{kind}/{metadata.name}", metadata.revision, value)
+    return StoredObject(f"{kind}/{metadata.name}", metadata.revision, value, event.object.status)
 
 
 def _raise_unavailable(response: FetchResponse) -> NoReturn:
--- a/src/ibiswick/_internal/shared/blackboard.py
+++ b/src/ibiswick/_internal/shared/blackboard.py
@@ -15,6 +15,7 @@
     Phase,
     Refusal,
     Snapshot,
+    VersionShare,
 )
 
 T = TypeVar("T")
@@ -97,6 +98,12 @@
         # Set by the control plane or the direct plane once the snapshot is not below the floor, the
         # lowest generation that a restarted node may serve. The data plane serves calls only then.
         self.floor_confirmed: Cell[bool] = Cell(False)
+        # By service, the share of calls for one version under a roll-out; written by
+        # direct/rollouts.py.
+        self.version_shares: Cell[Mapping[str, VersionShare]] = Cell({})
+        # Whether the local backend server gets no calls until it is known whether a roll-out of its
+        # version has been ordered; written by direct/rollouts.py.
+        self.holds_back: Cell[bool] = Cell(False)
         # Set by the control plane once peers have had time to learn that this backend server is
         # leaving.
         self.leave_announced: Cell[bool] = Cell(False)
--- a/src/ibiswick/_internal/shared/objectapi.py
+++ b/src/ibiswick/_internal/shared/objectapi.py
@@ -48,11 +48,16 @@
 
 
 class StoredObject(NamedTuple):
-    """Hold one object; `value` is None for a deleted object."""
+    """Hold one object; `value` is None for a deleted object.
+
+    `status` is what the system has reported about the object, where the platform keeps that apart
+    from the value.
+    """
 
     key: str
     version: int
     value: Any
+    status: Any = None
 
 
 class Listing(NamedTuple):
@@ -112,6 +117,16 @@
         """
 
 
+class StatusPlatform(Platform, Protocol):
+    """Write the status of objects as well, where the platform keeps it apart from the value."""
+
+    async def put_status(self, key: str, status: Any, *, value: Any, expected: int) -> int:
+        """Write the status of an object at a version; return the object's new version.
+
+        The value is sent along and is not changed. Fails like `put`.
+        """
+
+
 class FetchResponse(NamedTuple):
     """Hold one complete HTTP response; header names are in lower case."""
 
--- a/src/ibiswick/_internal/shared/records.py
+++ b/src/ibiswick/_internal/shared/records.py
@@ -163,6 +163,16 @@
     ready: bool
     # Rate of the VM's link, 0 if unknown.
     link_bytes_per_s: int = 0
+    # Version of the backend server, empty if it is unknown.
+    version: str = ""
+
+
+class VersionShare(NamedTuple):
+    """Divide the calls of a service between one version of its backend servers and the others."""
+
+    version: str
+    # From 0 to 1.
+    share: float
 
 
 class Phase(StrEnum):
@@ -192,6 +202,8 @@
     born: int
     # A backend server that is leaving takes no new calls.
     leaving: bool
+    # Empty if the backend server does not announce one.
+    version: str = ""
 
 
 class HeldLease(NamedTuple):
--- a/tests/direct_network.py
+++ b/tests/direct_network.py
@@ -6,6 +6,7 @@
 import random
 import socket
 from collections import Counter
+from collections.abc import Iterable
 from typing import Any
 
 import httptools
@@ -18,6 +19,7 @@
 from ibiswick._internal.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from ibiswick._internal.platform.headers import HEADER_NAMES
 from ibiswick._internal.platform.registry import decode_announcement
+from ibiswick._internal.platform.rollouts import ROLLOUTS_PREFIX, RolloutObjects
 from ibiswick._internal.platform.store import Store
 from ibiswick._internal.shared.settings import Address
 from ibiswick._internal.standins.store import ObjectStore
@@ -27,6 +29,7 @@
 HOST = "127.0.0.1"
 HEARTBEAT_INTERVAL_S = 1.5
 WORK_S = 0.02
+WARMUP_S = 3.0
 
 
 # Status, further headers, and bytes that are repeated after them without end.
@@ -92,6 +95,11 @@
         self.peak = 0
         self.seen: list[dict[str, str]] = []
         self.work_s = WORK_S
+        self.version = "v1"
+        # Behaviour of every call, instead of that in its path, and the share of calls that fail.
+        self.behaviour = ""
+        self.failed_share = 0.0
+        self.rng = random.Random(instance)
 
 
 class BackendConnection(asyncio.Protocol):
@@ -138,7 +146,9 @@
         server = self._server
         server.seen.append(headers)
         attempt = headers["ibiswick-attempt-id"]
-        behaviour = url.rpartition("/")[2]
+        behaviour = server.behaviour or url.rpartition("/")[2]
+        if server.failed_share and server.rng.random() < server.failed_share:
+            behaviour = "fail"
         if headers.get("ibiswick-expected-instance") != server.instance:
             self._write("421 Misdirected", attempt, b"", signed=False)
             return
@@ -227,8 +237,10 @@
         zones: int = 2,
         link_bytes_per_s: dict[int, int] | None = None,
         seed: int = 0,
+        follows_rollouts: bool = False,
     ) -> None:
         self.loop = loop
+        self.follows_rollouts = follows_rollouts
         self._seed = seed * 1000
         self.zones = zones
         # Link rates of the VMs by the index of their node, as the settings name them.
@@ -267,12 +279,31 @@
             await self.add(index)
         await asyncio.sleep(wait_s)
 
-    async def add(self, index: int) -> None:
+    def write_order(self, service: str, **order: Any) -> None:
+        """Order a roll-out as the operator does."""
+        spec = {"service": service, "target_version": "v2", "duration": "12s"} | order
+        self.store.put(ROLLOUTS_PREFIX + service, {"spec": spec, "status": None})
+        for fetch in self.fetches:
+            fetch.wake()
+
+    def set_mixed_failures(self, indexes: Iterable[int], share: float) -> None:
+        """Let a share of the calls of some backend servers fail."""
+        for index in indexes:
+            if index < len(self.backends):
+                self.backends[index].failed_share = share
+
+    def get_status(self, service: str) -> dict[str, Any]:
+        """Return the status of a roll-out, empty before the first one."""
+        found = self.store.get(ROLLOUTS_PREFIX + service)
+        return (found.value["status"] or {}) if found is not None else {}
+
+    async def add(self, index: int, *, version: str = "v1") -> None:
         """Start one node and its backend server."""
         service = self.services[index]
         backend = FakeBackendServer(
             self.loop, instance=f"i-{index}", service=service, failed_attempts=self.failed_attempts
         )
+        backend.version = version
         held = [bind_socket(HOST, 0) for _ in range(6)]
         await self.loop.create_server(lambda: BackendConnection(backend), sock=held[0])
         addresses = [Address(HOST, item.getsockname()[1]) for item in held]
@@ -291,6 +322,7 @@
             registry=addresses[4],
             exchange=addresses[5],
             link_bytes_per_s=self.link_bytes_per_s.get(index, 0),
+            follows_rollouts=self.follows_rollouts,
         )
         self.backends.append(backend)
         fetch = StoreFetch(self.store)
@@ -311,6 +343,7 @@
             configuration_key=CONFIGURATION_KEY,
             decode_configuration=decode_configuration,
             decode_announcement=decode_announcement,
+            rollout_decoder=RolloutObjects(),
             rng=random.Random(self._seed + seed),
             clock=self.loop.time,
             wall_clock=self.loop.time,
@@ -359,13 +392,18 @@
     async def _send_heartbeats(self, index: int) -> None:
         backend = self.backends[index]
         sequence = 0
+        started_at = self.loop.time()
         while self.sends_heartbeats[index]:
             sequence += 1
             await self.announce(
                 index,
                 "heartbeat",
                 build_heartbeat_body(
-                    service=backend.service, sequence=sequence, born=self.born + index
+                    service=backend.service,
+                    sequence=sequence,
+                    born=self.born + index,
+                    version=backend.version,
+                    warmup_left=f"{max(0.0, started_at + WARMUP_S - self.loop.time()):.3f}s",
                 ),
             )
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ibiswick._internal.platform.configuration import CONFIGURATION_KEY
+from ibiswick._internal.platform.rollouts import ROLLOUTS_PREFIX
 from ibiswick._internal.shared.errors import (
     ConflictError,
     ExchangeTimeoutError,
@@ -165,7 +166,7 @@
                 "deleted": item.value is None,
                 "object": {
                     "metadata": {"name": item.key.partition("/")[2], "revision": item.version},
-                    "spec": item.value,
+                    **_split_status(item),
                 },
             }
             for item in changes.objects
@@ -179,6 +180,8 @@
         if method == "POST":
             key += "/" + document["metadata"]["name"]
             expected = MUST_NOT_EXIST
+        elif key.endswith("/status"):
+            return self._write_status(key.removesuffix("/status"), document, expected)
         elif self.store.get(key) is None:
             return self._answer(404, {})
         try:
@@ -190,6 +193,18 @@
             return self._answer(409, self._show_current(key))
         return self._answer_object(key)
 
+    def _write_status(
+        self, key: str, document: dict[str, Any], expected: int | None
+    ) -> FetchResponse:
+        found = self.store.get(key)
+        if found is None:
+            return self._answer(404, {})
+        try:
+            self.store.put(key, found.value | {"status": document["status"]}, expected=expected)
+        except ConflictError:
+            return self._answer(409, self._show_current(key))
+        return self._answer_object(key)
+
     def _show_current(self, key: str) -> dict[str, Any]:
         found = self.store.get(key)
         assert found is not None
@@ -204,7 +219,7 @@
             "finalizers": [],
             "deleting": False,
         }
-        return {"metadata": metadata, "spec": found.value, "status": None}
+        return {"metadata": metadata, **_split_status(found)}
 
     def _answer_object(self, key: str) -> FetchResponse:
         return self._answer(200, self._show_current(key))
@@ -212,3 +227,9 @@
     def _answer(self, status: int, value: Any) -> FetchResponse:
         headers = {"store-era": str(self.store.era)} if self.names_era else {}
         return FetchResponse(status, headers, msgspec.json.encode(value))
+
+
+def _split_status(found: StoredObject) -> dict[str, Any]:
+    if found.key.startswith(ROLLOUTS_PREFIX) and found.value is not None:
+        return {"spec": found.value["spec"], "status": found.value["status"]}
+    return {"spec": found.value, "status": None}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -77,7 +77,7 @@
             await platform.put("live/head", {"a": 2}, expected=MUST_NOT_EXIST)
         assert caught.value.current == first
         second = await platform.put("live/head", {"a": 2}, expected=first)
-        assert await platform.get("live/head") == ("live/head", second, {"a": 2})
+        assert await platform.get("live/head") == ("live/head", second, {"a": 2}, None)
         await platform.put("live/höher %?", [1])
         listing = await platform.list("live/", limit=1, reverse=True)
         assert [found.key for found in listing.objects] == ["live/höher %?"]
@@ -98,10 +98,10 @@
         await wait_for_watch(http_client)
         await platform.put("other", 1)
         version = await platform.put("live/head", {"a": 1})
-        assert (await pending).objects == (("live/head", version, {"a": 1}),)
+        assert (await pending).objects == (("live/head", version, {"a": 1}, None),)
         await platform.delete("live/head")
         listing = await platform.watch("live/", after=version, timeout_s=20)
-        assert listing.objects == (("live/head", listing.revision, None),)
+        assert listing.objects == (("live/head", listing.revision, None, None),)
         listing = await platform.watch("live/", after=listing.revision, timeout_s=0.01)
         assert listing.objects == ()
         counts = (await http_client.get("/_counts")).json()
