--- a/src/ibiswick/_internal/calls/callcounts.py
+++ b/src/ibiswick/_internal/calls/callcounts.py
@@ -21,6 +21,9 @@
     "ibiswick_crossing_bytes_total": "Bytes to and from other availability zones, by purpose.",
     "ibiswick_limit_tokens_total": "Calls of tenants with a limit, by result.",
     "ibiswick_limit_datagrams_total": "Datagrams about limits, by kind.",
+    "ibiswick_rollout_calls_total": "Calls under a roll-out, by the version that was drawn.",
+    "ibiswick_rollout_answers_total": "Answers of warm backend servers, by version and result.",
+    "ibiswick_rollout_steps_total": "Steps of roll-outs that this node decided, by state.",
     "ibiswick_platform_calls_total": "Calls to the object API by method, kind and result.",
 }
 _HISTOGRAM_DOCS = {
--- a/src/ibiswick/_internal/direct/settings.py
+++ b/src/ibiswick/_internal/direct/settings.py
@@ -23,6 +23,8 @@
     * `link_bytes_per_s`: the rate of the VM's link, 0 if unknown.
     * `memory_mb`, `max_fds`: the memory and the descriptors that the VM gives the process, 0 if
       unknown.
+    * `follows_rollouts`: operators may order roll-outs. Nodes then read orders, which costs calls
+      to the object API.
     """
 
     vm: str
@@ -44,3 +46,4 @@
     limits: Address = Address("", 0)
     memory_mb: int = 0
     max_fds: int = 0
+    follows_rollouts: bool = False
--- a/src/ibiswick/_internal/platform/settings.py
+++ b/src/ibiswick/_internal/platform/settings.py
@@ -14,6 +14,8 @@
 PATH_VARIABLE = "IBISWICK_NODE_FILE"
 # The settings file has no port for metrics; deploy/system.toml uses this one.
 METRICS_PORT = 9464
+# Named in the list `policies` of the settings file where operators may order roll-outs.
+ROLLOUT_POLICY = "rollout"
 BYTES_PER_MEGABIT = 1_000_000 // 8
 
 
@@ -70,6 +72,7 @@
         limits=peer._replace(port=limits_port),
         memory_mb=int(reader.read_number(limits, "limits.memory_mb", 0)),
         max_fds=int(reader.read_number(limits, "limits.max_fds", 0)),
+        follows_rollouts=ROLLOUT_POLICY in reader.read_list(document, "policies", []),
     )
     reader.raise_problems()
     return settings
