--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -507,10 +507,12 @@
             # Such a call has not run, and says nothing about the version.
             is_refused = response_head.not_run or response.status == 421
             if answer is None:
-                self._record_result(response.status >= 500, slot_request.route_id, started_at)
+                failed = response.status >= 500
+                self._record_result(failed)
                 await self._forward_response(
                     request, response, response_head, id_headers, slot_request.route_id, arrived_at
                 )
+                self._policy.observe_call(slot_request.route_id, self._clock() - started_at, failed)
                 return True
         except NotSentError as error:
             if deadline is None or deadline - self._clock() > MIN_CONNECT_TIME_S:
@@ -520,7 +522,9 @@
             answer = build_unknown_answer(str(error), timed_out=True)
         except ResponseLostError as error:
             answer = build_unknown_answer(str(error), timed_out=False)
-        self._record_result(True, slot_request.route_id, None if is_refused else started_at)
+        self._record_result(True)
+        if not is_refused:
+            self._policy.observe_call(slot_request.route_id, self._clock() - started_at, True)
         self._log_outcome(head, answer)
         self._counts.add("ibiswick_peer_calls_total", "result", answer.code)
         send_answer(request, answer, self._add_load_header(id_headers, slot_request.route_id))
@@ -642,10 +646,8 @@
         )
         return [*id_headers, (LOAD_HEADER, format_load(load))]
 
-    def _record_result(self, failed: bool, route_id: str, started_at: float | None) -> None:
+    def _record_result(self, failed: bool) -> None:
         self._failed_share += FAILED_SHARE_WEIGHT * (failed - self._failed_share)
-        if started_at is not None:
-            self._policy.observe_call(route_id, self._clock() - started_at, failed)
 
     def _build_request(
         self, request: ServerRequest, head: RequestHead, body: RequestBody, deadline: float | None
--- a/src/ibiswick/_internal/calls/versions.py
+++ b/src/ibiswick/_internal/calls/versions.py
@@ -12,8 +12,8 @@
 from ..shared.records import Endpoint, VersionShare
 from .callcounts import CallCounts
 
-# Endpoints in use beyond the share, so that a slow one can be avoided.
-SPARE_ENDPOINTS = 1
+# One more endpoint is used where the share takes fewer than this, so that a slow one is avoided.
+MIN_ENDPOINTS_WITHOUT_SPARE = 4
 # Shares are rounded, which must not add an endpoint.
 ROUNDING = 0.01
 
@@ -111,9 +111,10 @@
     """Return how many of the target version's endpoints take its share of the calls.
 
     >>> count_in_use(0.083, 24), count_in_use(0.3, 24), count_in_use(0.09, 3)
-    (3, 9, 2)
+    (3, 8, 2)
     """
-    return math.ceil(share * count - ROUNDING) + SPARE_ENDPOINTS
+    needed = math.ceil(share * count - ROUNDING)
+    return needed + (needed < MIN_ENDPOINTS_WITHOUT_SPARE)
 
 
 def _rank(endpoint: Endpoint) -> tuple[int, str]:
--- a/src/ibiswick/_internal/direct/exchange.py
+++ b/src/ibiswick/_internal/direct/exchange.py
@@ -96,7 +96,7 @@
 def encode_message(message: ExchangeMessage) -> bytes:
     """Encode a message as compressed CBOR; raise MessageError when the update is too large."""
     update = encode_update(message.update) if message.update is not None else b""
-    records = [list(record) for record in message.records]
+    records = [_encode_record(record) for record in message.records]
     table = list(message.records_cursor) if message.records_cursor is not None else None
     raw = cbor2.dumps(
         [
@@ -163,6 +163,12 @@
     return content
 
 
+def _encode_record(record: NodeRecord) -> list[Any]:
+    """Encode a record; without a version, it is the same as in earlier builds."""
+    row = list(record)
+    return row[:-1] if row[-1] == "" else row
+
+
 def _decode_record(row: Any) -> NodeRecord:
     if isinstance(row, list):
         record = parse_record(dict(zip(NodeRecord._fields, row, strict=False)))
--- a/src/ibiswick/_internal/direct/plane.py
+++ b/src/ibiswick/_internal/direct/plane.py
@@ -425,7 +425,7 @@
             instance is not None and instance.leaving,
             self.update_source.read_ms,
             settings.link_bytes_per_s,
-            instance.version if instance is not None else "",
+            instance.version if instance is not None and settings.follows_rollouts else "",
         )
 
     def _update_own_record_if_announced(self) -> None:
--- a/src/ibiswick/_internal/direct/rollouts.py
+++ b/src/ibiswick/_internal/direct/rollouts.py
@@ -60,6 +60,7 @@
 COALESCE_S = 0.02
 # How often a node checks whether it follows the object API.
 READER_CHECK_INTERVAL_S = 0.5
+START_CHECK_INTERVAL_S = 0.1
 # How often a node checks whether its backend server is still held back.
 HOLD_CHECK_INTERVAL_S = 0.1
 # A node whose backend server has a version of its own gets no calls for at most this long while
@@ -84,6 +85,10 @@
 
     follows_object_api: bool
 
+    @property
+    def is_starting(self) -> bool:
+        """Tell whether it is not settled yet whether this node follows the object API."""
+
     @property
     def can_serve_polls(self) -> bool:
         """Tell whether other nodes may rely on what this one reads."""
@@ -179,6 +184,7 @@
             apply=self._apply_objects,
             rng=rng,
             get_coalesce_s=lambda: COALESCE_S,
+            wait_before_watch=self._wait_before_watch,
             get_stale_watch_limit_s=lambda: WATCH_TIMEOUT_S,
             era=board.store_era,
             clock=clock,
@@ -211,6 +217,15 @@
                 await asyncio.gather(follower, return_exceptions=True)
             self._follower.forget_revision()
 
+    async def _wait_before_watch(self) -> None:
+        """Wait until it is settled whether this node follows the object API.
+
+        Every node does so when it starts. Its first listing, which may be stale and costs little,
+        tells the stages after a restart of the whole fleet.
+        """
+        while self._source.is_starting:  # noqa: ASYNC110
+            await asyncio.sleep(START_CHECK_INTERVAL_S)
+
     def _apply_objects(self, listing: Listing, complete: bool) -> None:
         found = {}
         for item in listing.objects:
@@ -336,7 +351,7 @@
             return
         if known is not None and (known.instance, known.born) == (instance.instance, instance.born):
             return
-        if self._has_own_version(instance):
+        if instance.version and self._has_own_version(instance):
             self._hold_ends_at = self._clock() + MAX_HOLD_S
             self._board.holds_back.set(True)
             _log.info("rollout-held", service=instance.service, version=instance.version)
@@ -350,7 +365,7 @@
             and record.vm != self._vm
             and record.instance
             and not record.leaving
-            and record.version != instance.version
+            and record.version not in ("", instance.version)
             for record in self._members.records.values()
         )
 
@@ -608,7 +623,9 @@
             return
         now = self._clock()
         decider = self._get_decider(stage)
-        decision = decider.decide(stage, age_s=self._get_age(stage), now=now)
+        can_write = self._source.can_serve_polls
+        age_s = self._get_age(stage)
+        decision = decider.decide(stage, age_s=age_s, now=now, can_write=can_write)
         if decision is None:
             return
         _log.info(
@@ -628,7 +645,7 @@
             stage = stage._replace(halted=True)
             self._merge(stage, now, source="decision")
             self._push()
-        if self._source.can_serve_polls and now >= self._next_write_at.get(stage.service, 0.0):
+        if can_write and now >= self._next_write_at.get(stage.service, 0.0):
             self._next_write_at[stage.service] = now + RETRY_WRITE_S
             await self._write(stage, decision)
 
--- a/src/ibiswick/_internal/rollouts/evidence.py
+++ b/src/ibiswick/_internal/rollouts/evidence.py
@@ -25,8 +25,9 @@
 # as many standard deviations as the second. The comparisons are repeated some hundred times in a
 # roll-out, so lower limits roll back good versions.
 BAD_DIFFERENCES = ((0.1, 3.6), (0.04, 4.6))
-UNCLEAR_DIFFERENCE = (0.1, 2.6)
-MIN_BAD_ANSWERS = 3
+UNCLEAR_DIFFERENCES = ((0.1, 2.6), (0.04, 3.3))
+MIN_BAD_ANSWERS = 4
+MIN_UNCLEAR_ANSWERS = 3
 # A suspicion is checked with calls of which this many would be bad if it were true. A fault is
 # shared, or over, if the old version, or the target version, answers badly with these parts of the
 # suspected level.
@@ -43,7 +44,9 @@
 # several times slower.
 BAD_SLOWDOWN = 2.5
 CERTAIN_SLOWDOWN = 1.7
-UNCLEAR_CERTAIN_SLOWDOWN = 1.3
+UNCLEAR_CERTAIN_SLOWDOWN = 1.5
+# Slow backend servers of a good version explain a slowdown up to this in a check.
+CLEAN_SLOWDOWN = 2.2
 SLOWDOWN_DEVIATIONS = 3.3
 MIN_DURATIONS = 5
 # Fewer calls of the old version in a slice are no comparison for durations.
@@ -318,7 +321,10 @@
         has_old = old_count * certainty >= MIN_CHECK_HITS
         has_new = new_count * certainty >= MIN_CHECK_HITS
         self.is_fault_shared = has_old and old_level - usual >= SHARED_LEVEL * level
-        if self.is_fault_shared or (has_new and new_level - usual <= CLEAN_LEVEL * level):
+        clean = CLEAN_LEVEL * level
+        if kind == SLOWDOWN:
+            clean = max(clean, BUCKETS_PER_DOUBLING * math.log2(CLEAN_SLOWDOWN))
+        if self.is_fault_shared or (has_new and new_level - usual <= clean):
             return Verdict.GOOD
         if has_old and (has_new or new_level - usual >= AGAIN_LEVEL * level):
             return Verdict.BAD
@@ -514,7 +520,7 @@
     limits: tuple[tuple[float, float], ...],
 ) -> Judgement:
     hits, count = counted
-    if hits < MIN_BAD_ANSWERS or excess[0] <= 0 or excess[1] <= 0:
+    if hits < MIN_UNCLEAR_ANSWERS or excess[0] <= 0 or excess[1] <= 0:
         return Judgement(Verdict.GOOD)
     difference = excess[0] / count
     deviations = excess[0] / math.sqrt(excess[1])
@@ -526,10 +532,12 @@
         kind,
         hits / count,
     )
-    if any(difference >= least and deviations >= limit for least, limit in limits):
+    is_worse = any(difference >= least and deviations >= limit for least, limit in limits)
+    if is_worse and hits >= MIN_BAD_ANSWERS:
         return found._replace(verdict=Verdict.BAD)
-    least, limit = UNCLEAR_DIFFERENCE
-    is_unclear = difference >= least and deviations >= limit
+    is_unclear = any(
+        difference >= least and deviations >= limit for least, limit in UNCLEAR_DIFFERENCES
+    )
     return found._replace(verdict=Verdict.UNCLEAR) if is_unclear else found
 
 
--- a/src/ibiswick/_internal/rollouts/steps.py
+++ b/src/ibiswick/_internal/rollouts/steps.py
@@ -18,16 +18,19 @@
 RAMP_SHARES = (0.3, 1.0)
 # Shortest duration of each step: nodes learn of it within 0.3 s, and reports come every 0.5 s.
 FIRST_STEP_S = 1.3
-STEP_S = 0.9
+STEP_S = 1.3
+# A step is shorter from this part of the duration on, as after the failure of a decider.
+LATE_STEP_S = 0.9
+LATE_AT = 0.72
 # Shortest duration of the full share before the old backend servers may stop.
 FULL_STEP_S = 1.6
 # Part of the duration of the order after which it is completed; the rest is a margin for failures.
-COMPLETE_AT = 0.78
+COMPLETE_AT = 0.81
 EARLIEST_COMPLETE_AT = 0.75
 # From this part on, unfinished calls at old backend servers no longer delay the completion.
 LATEST_COMPLETE_AT = 0.9
 # From this part on, a roll-out that can't be completed is rolled back.
-GIVE_UP_AT = 0.97
+GIVE_UP_AT = 0.98
 # From this part on, the first share is given to the backend servers that are warm, even if few.
 FIRST_STEP_AT = 0.42
 # Bad evidence must last for this long, since nodes report at different times, and a fault that
@@ -117,8 +120,11 @@
         self._bad_since: float | None = None
         # Whether the full share was left to compare the versions again.
         self._is_checking = False
+        self._check_share: float | None = None
         self._has_settled = False
         self._has_checked = False
+        # Whether a check has found no fault at all, so that the next suspicion is final.
+        self._was_clean = False
         self._suspicion = Judgement(Verdict.GOOD)
         self._peak_busy = 0.0
         self._old_slots = math.inf
@@ -164,15 +170,21 @@
         old = self.evidence.count(target=False, now=now, window_s=RATE_WINDOW_S)
         return (new[0] + old[0]) / RATE_WINDOW_S
 
-    def decide(self, stage: Stage, *, age_s: float, now: float) -> Decision | None:
+    def decide(
+        self, stage: Stage, *, age_s: float, now: float, can_write: bool = True
+    ) -> Decision | None:
         """Return the next step, or None to keep the present one.
 
-        `age_s` is the time since the order.
+        `age_s` is the time since the order. Without `can_write`, only a roll-back takes effect.
         """
         if stage.state is not RolloutState.RUNNING:
             return None
         if stage.share != self._share:
+            if self._is_checking and stage.share >= 1.0:
+                self._end_checking()
             self._share, self._share_since = stage.share, now
+            # A step whose status could not be written has not begun.
+            self._is_checking = stage.share == self._check_share
             self._has_settled = False
             self.evidence.mark()
         self.evidence.advance(now)
@@ -187,7 +199,7 @@
             self._usual_busy += USUAL_BUSY_WEIGHT * (fleet.busy - self._usual_busy)
         if stage.halted:
             return Decision(RolloutState.ROLLED_BACK, 0.0, "halted")
-        bad = self._find_bad(stage, now)
+        bad = self._find_bad(stage, age_s, now, can_write)
         if bad is not None:
             return bad
         if age_s >= GIVE_UP_AT * self._duration_s and not self._may_complete(fleet, now, age_s):
@@ -196,12 +208,22 @@
             return Decision(RolloutState.RUNNING, stage.share, "ordered")
         return self._decide_step(stage.share, fleet, age_s, now)
 
-    def _find_bad(self, stage: Stage, now: float) -> Decision | None:
+    def _end_checking(self) -> None:
+        """Note that the full share has returned after a check."""
+        self._check_share = None
+        self._has_checked = True
+        self._was_clean = not self.evidence.is_fault_shared
+        if self._was_clean:
+            self.evidence.restore()
+
+    def _find_bad(self, stage: Stage, age_s: float, now: float, can_write: bool) -> Decision | None:
         is_full = stage.share >= 1.0
         if self._is_checking and not self._has_settled:
             return None
-        # At the full share a suspicion is checked at once, as the check can be undone.
-        least = Verdict.UNCLEAR if is_full else Verdict.BAD
+        # At the full share a suspicion is checked while there is time, as a check can be undone.
+        needed_s = CHECK_S + CHECKED_FULL_STEP_S + 0.3
+        has_time = age_s < GIVE_UP_AT * self._duration_s - needed_s
+        least = Verdict.UNCLEAR if is_full and has_time else Verdict.BAD
         if self.judgement.verdict < least:
             self._bad_since = None
             return None
@@ -211,17 +233,20 @@
         is_shared = old[1] > SHARED_FAILED_SHARE * max(1, old[0])
         confirm_s = CONFIRM_SHARED_S if is_shared else CONFIRM_BAD_S
         is_certain = self.judgement.verdict is Verdict.BAD
-        if is_full and is_certain and not self._has_checked:
+        if is_full and is_certain and not self._was_clean:
             confirm_s = 0.0
         if now - self._bad_since < confirm_s:
             return None
         self._bad_since = None
-        if is_full and not self._has_checked:
-            self._is_checking = self._has_checked = True
+        if is_full and not self._was_clean and can_write:
+            if self.evidence.is_fault_shared and not has_time:
+                # The fault of both versions probably goes on.
+                return None
             self._suspicion = self.judgement
             rate = max(1.0, self._measure_rate(now))
             share = min(MAX_CHECK_SHARE, max(MAX_FIRST_SHARE, CHECK_CALLS_PER_S / rate))
             share = fit_share(share, len(self._warm_target), most=MAX_CHECK_SHARE)
+            self._check_share = share
             return Decision(RolloutState.RUNNING, share, f"check:{self.judgement.reason}")
         if not is_certain:
             return None
@@ -239,7 +264,10 @@
             return self._end_check(spent_s, age_s)
         following = next(item for item in RAMP_SHARES if item > share + 0.01)
         is_first = share <= MAX_FIRST_SHARE
-        if spent_s < (FIRST_STEP_S if is_first else STEP_S):
+        step_s = FIRST_STEP_S if is_first else STEP_S
+        if age_s >= LATE_AT * self._duration_s:
+            step_s = LATE_STEP_S
+        if spent_s < step_s:
             return None
         due = self._schedule(following, now)
         if self.judgement.verdict is not Verdict.GOOD and age_s < due + MAX_UNCLEAR_S:
@@ -261,11 +289,8 @@
             if not is_late:
                 return None
             verdict = self.evidence.check_few()
-        self._is_checking = False
         if verdict is not Verdict.GOOD:
             return Decision(RolloutState.ROLLED_BACK, 0.0, f"confirmed:{self._suspicion.reason}")
-        if not self.evidence.is_fault_shared:
-            self.evidence.restore()
         return Decision(RolloutState.RUNNING, 1.0, "checked")
 
     def _decide_first(self, fleet: Fleet, age_s: float, now: float) -> Decision | None:
@@ -292,8 +317,9 @@
     def _has_calls(self, share: float, spent_s: float, now: float) -> bool:
         """Tell whether the target version has got about as many calls as its share allows."""
         rate = self._measure_rate(now)
-        seen_s = spent_s - REPORT_DELAY_S - self.evidence.estimate_old_duration()
-        expected = min(float(STEP_CALLS), STEP_CALLS_SHARE * share * rate * max(0.0, seen_s))
+        delay_s = REPORT_DELAY_S + self.evidence.estimate_old_duration()
+        seen_s = max(0.0, min(spent_s - delay_s, HISTORY_S))
+        expected = min(float(STEP_CALLS), STEP_CALLS_SHARE * share * rate * seen_s)
         found = self.evidence.count(target=True, now=now, window_s=min(spent_s, HISTORY_S))[0]
         return found >= math.floor(expected)
 
@@ -304,12 +330,15 @@
             return False
         if self.judgement.verdict is Verdict.BAD or age_s < EARLIEST_COMPLETE_AT * self._duration_s:
             return False
+        is_late = age_s >= LATEST_COMPLETE_AT * self._duration_s
+        if self.judgement.verdict is not Verdict.GOOD and not is_late:
+            return False
         few = self.evidence.count(target=True, now=now, window_s=HISTORY_S)[0] < COMPLETE_CALLS
         if few and age_s < COMPLETE_WITH_FEW_CALLS_AT * self._duration_s:
             return False
         if not fleet.warm_count or fleet.warm_slots < fleet.needed_slots:
             return False
-        if age_s >= LATEST_COMPLETE_AT * self._duration_s:
+        if is_late:
             return True
         # Calls of a version that has just become slow run for long before they are evidence.
         is_piling_up = fleet.busy > MAX_BUSY_FACTOR * self._usual_busy + MAX_BUSY_SLACK
