Test large answers of the port between nodes that are not read

Cause: the case was missing for this port; its other test has small answers only. Change: 50 clients ask the peer port itself for 8 MB each and do not read.

--- a/tests/test_client_pressure.py
+++ b/tests/test_client_pressure.py
@@ -131,6 +131,13 @@
     )
 
 
+def test_large_answers_of_the_peer_port_stay_within_the_memory(tmp_path: Path) -> None:
+    """Guard against answers that are held for clients of the port between nodes."""
+    node_headers = b"Ibiswick-Call: c\r\nIbiswick-Service: counter\r\n\r\n"
+    call = build_call(size=LARGE_ANSWER_BYTES).removesuffix(b"\r\n") + node_headers
+    run_pressure(tmp_path, [(call, b"")], clients=50, port_names=["peer"])
+
+
 HEADS = [
     # Neither ends: the first stays under the limit of 16 KiB, the others go over it.
     (b"GET / HTTP/1.1\r\nhost: x\r\n" + b"a: b\r\n" * 2500, b""),
