Serve backend servers of any version again after a completed roll-out

Cause: after a completion only the target version could run calls until the next order, so backend servers of a third version, or an old one started again, would never get any.

Change: other versions run no calls for 10 s after the completion, in which the old backend servers stop. A node that starts later holds nothing.

Result: the new test fails without the change; tests/test_direct_rollouts.py passes.

--- a/src/ibiswick/_internal/calls/versions.py
+++ b/src/ibiswick/_internal/calls/versions.py
@@ -73,7 +73,7 @@
         if share is None:
             return None
         in_use, has_others = self._find(service)
-        if share.share >= 1.0:
+        if share.share >= 1.0 and in_use:
             takes_target = True
         elif share.share <= 0.0 or not in_use:
             takes_target = False
--- a/src/ibiswick/_internal/direct/rollouts.py
+++ b/src/ibiswick/_internal/direct/rollouts.py
@@ -10,6 +10,7 @@
 import asyncio
 import hashlib
 import json
+import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, Protocol
@@ -77,6 +78,10 @@
 DEFAULT_WARMUP_S = 3.0
 MAX_MESSAGE_BYTES = 256 * 1024
 
+# For this long after a completion, other versions run no calls. The old backend servers have
+# stopped by then, and later ones, of whatever version, are served as without an order.
+COMPLETED_HOLD_S = 10.0
+
 _log = EventLog(component="rollouts")
 
 
@@ -164,6 +169,7 @@
         self._specs: dict[str, Any] = {}
         # By service and order: when it was written, on this node's clock.
         self._ordered_at: dict[tuple[str, int, int], float] = {}
+        self._hold_completed_until: dict[str, float] = {}
         self._changed_at: dict[str, float] = {}
         self._stages_changed = asyncio.Event()
         self._deciders: dict[str, tuple[tuple[int, int], StepDecider]] = {}
@@ -268,12 +274,10 @@
         self._changed_at[stage.service] = self._clock()
         for old in [item for item in self._ordered_at if item[0] == stage.service and item != key]:
             del self._ordered_at[old]
-        shares = {
-            service: VersionShare(item.target_version, item.target_share)
-            for service, item in self._stages.items()
-            if item.target_version
-        }
-        self._board.version_shares.set(shares)
+        if stage.state is RolloutState.COMPLETED and known is not None:
+            self._hold_completed_until[stage.service] = self._clock() + COMPLETED_HOLD_S
+            asyncio.get_running_loop().call_later(COMPLETED_HOLD_S, self._publish_shares)
+        self._publish_shares()
         self._stages_changed.set()
         self._stages_changed = asyncio.Event()
         _log.info(
@@ -289,6 +293,22 @@
             source=source,
         )
 
+    def _publish_shares(self) -> None:
+        """Publish the share of each version under a roll-out."""
+        shares = {
+            service: VersionShare(item.target_version, item.target_share)
+            for service, item in self._stages.items()
+            if item.target_version and not self._is_over(item)
+        }
+        self._board.version_shares.set(shares)
+
+    def _is_over(self, stage: Stage) -> bool:
+        """Tell whether a completed roll-out no longer decides which versions run calls."""
+        if stage.state is not RolloutState.COMPLETED:
+            return False
+        # A node that has not known the order before has started after the completion.
+        return self._clock() >= self._hold_completed_until.get(stage.service, -math.inf)
+
     def _get_age(self, stage: Stage) -> float:
         key = (stage.service, stage.era, stage.order_revision)
         return self._clock() - self._ordered_at.get(key, self._clock())
@@ -443,7 +463,7 @@
         if instance is None or self._board.holds_back.value:
             return instance is None
         stage = self._stages.get(instance.service)
-        if stage is None or not stage.target_version:
+        if stage is None or not stage.target_version or self._is_over(stage):
             return True
         if stage.target_version == instance.version:
             return stage.target_share > 0
--- a/tests/test_direct_rollouts.py
+++ b/tests/test_direct_rollouts.py
@@ -16,7 +16,7 @@
 from direct_network import DirectMesh
 from ibiswick._internal.direct.exchange import ExchangeMessage, decode_message, encode_message
 from ibiswick._internal.direct.members import NodeRecord, parse_record
-from ibiswick._internal.direct.rollouts import rank_deciders
+from ibiswick._internal.direct.rollouts import COMPLETED_HOLD_S, rank_deciders
 from ibiswick._internal.platform.rollouts import ROLLOUTS_PREFIX
 
 logbook.NullHandler().push_application()
@@ -155,6 +155,24 @@
     run_roll(scenario)
 
 
+def test_later_backend_servers_run_calls_whatever_their_version() -> None:
+    """Guard against backend servers of a third version that get no calls without an order."""
+
+    async def scenario(roll: Roll) -> int:
+        await roll.order()
+        assert roll.state == "completed"
+        await asyncio.sleep(COMPLETED_HOLD_S)
+        roll.mesh.services = [*SERVICES, "counter"]
+        later = len(SERVICES)
+        await roll.mesh.add(later, version="v3")
+        await asyncio.sleep(4.0)
+        calls = [roll.mesh.call(CALLERS[0], "/book/ok", f"late-{n}") for n in range(60)]
+        await asyncio.gather(*calls)
+        return sum(roll.mesh.backends[later].runs.values())
+
+    assert run_roll(scenario) > 0
+
+
 @pytest.mark.parametrize("behaviour", ["fail", "crash", "slow"])
 def test_a_bad_version_is_rolled_back(behaviour: str) -> None:
     """Guard against a bad version that keeps its calls, or gets some after the roll-back."""
