--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -33,6 +33,7 @@
     assert settings.caller == ("10.1.0.35", 8141)
     assert settings.registry == ("10.1.0.35", 8146)
     assert settings.exchange == ("10.1.0.35", 7660)
+    assert settings.limits == ("10.1.0.35", 7661)
     assert settings.store == ("10.200.1.7", 8142)
     assert (settings.stop_grace_s, settings.retry_slack) == (6.0, 64.0)
     assert settings.link_bytes_per_s == 312_500
@@ -44,6 +45,13 @@
     assert parse_direct_settings(text, source="test").link_bytes_per_s == 0
 
 
+@pytest.mark.parametrize("ports", ["[7660]", "[7660,7660]", "[65535,65540]"])
+def test_a_single_internal_port_leaves_none_for_limits(ports: str) -> None:
+    """Guard against a node that opens a port outside its range."""
+    text = SETTINGS.replace("[7660,7675]", ports)
+    assert parse_direct_settings(text, source="test").limits.port == 0
+
+
 @pytest.mark.parametrize(
     ("before", "after", "path"),
     [
