Limit a backend server to the concurrency at which it does most

Cause: some backend servers do less the more calls run, and the node beside them filled all announced slots.

The node applies the limit to its slots and reports it. It is on for nodes that read the object API themselves.

--- a/src/ibiswick/_internal/calls/inbound.py
+++ b/src/ibiswick/_internal/calls/inbound.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections import deque
 from collections.abc import Callable
@@ -25,6 +26,7 @@
 )
 from .bodies import MAX_REPLAY_BYTES, RequestBody
 from .callcounts import CallCounts
+from .capacity import CapacityEstimator
 from .exchanges import (
     ByteBudget,
     Exchange,
@@ -97,6 +99,8 @@
     buffer_budget: ByteBudget | None = None
     # Rate of this VM's link, 0 if unknown.
     link_bytes_per_s: int = 0
+    # Find out how many concurrent calls the backend server handles well, and admit no more.
+    estimates_capacity: bool = False
 
 
 DEFAULT_POLICY = AdmissionPolicy()
@@ -129,6 +133,7 @@
         upload_idle_s: float,
         clock: Callable[[], float] | None = None,
         policy: AdmissionPolicy = DEFAULT_POLICY,
+        rng: random.Random | None = None,
     ) -> None:
         self._policy = policy
         self._names = policy.names
@@ -150,6 +155,7 @@
         self._queue = SlotQueue(
             slots=slots, queue_s=policy.max_queue_s, length_per_slot=policy.queue_length_per_slot
         )
+        self._capacity = CapacityEstimator(slots=slots, rng=rng or random.Random())
         self._slot_waiters: dict[int, asyncio.Future[bool]] = {}
         self._turns = BodyTurns(link_bytes_per_s=policy.link_bytes_per_s)
         # Calls whose bodies wait for their turn on the link.
@@ -279,6 +285,7 @@
             "ibiswick_slot_wait_seconds", "result", "admitted", started_at - arrived_at
         )
         duration_counts = False
+        concurrency = self._queue.busy
         self._board.running_call_priorities[head.attempt_id] = slot_request.priority
         if head.is_repeat and head.attempt_id:
             self._board.repeated_runs.begin(head.attempt_id)
@@ -289,6 +296,8 @@
         finally:
             self._board.running_call_priorities.pop(head.attempt_id, None)
             now = self._clock()
+            if duration_counts and self._policy.estimates_capacity:
+                self._note_capacity(slot_request.route_id, now - started_at, concurrency)
             if head.is_repeat and head.attempt_id:
                 self._board.repeated_runs.end(head.attempt_id, now=now)
             tickets = self._queue.release(
@@ -325,10 +334,26 @@
             return
         self._instance = instance
         self._queue.slots = instance.slots
+        self._capacity.reset(slots=instance.slots)
         # With a connection for every slot, no call is refused for lack of one.
         self._max_connections = max(DEFAULT_MAX_BACKEND_CONNECTIONS, instance.slots)
         self._grant(self._queue.admit(now=self._clock()))
 
+    def _note_capacity(self, route_id: str, duration_s: float, concurrency: int) -> None:
+        """Record the end of a call, and apply the limit that the estimator now chooses."""
+        capacity = self._capacity
+        chosen = capacity.chosen
+        capacity.note_call(
+            now=self._clock(),
+            route_id=route_id,
+            duration_s=duration_s,
+            concurrency=concurrency,
+            is_saturated=self._queue.queued > 0,
+        )
+        self._queue.slots = capacity.limit
+        if capacity.chosen != chosen:
+            _log.info("capacity-changed", limit=capacity.chosen, slots=capacity.slots)
+
     # Slots
 
     async def _receive_body(
--- a/src/ibiswick/_internal/direct/policies.py
+++ b/src/ibiswick/_internal/direct/policies.py
@@ -29,6 +29,8 @@
 RETRY_STATUSES = frozenset((500, 502, 503))
 # Bounds only the memory; targets and deadlines limit the wait for a slot.
 QUEUE_LENGTH_PER_SLOT = 8
+# See `AdmissionPolicy.estimates_capacity`.
+ESTIMATES_CAPACITY = True
 
 
 def build_call_policy(
@@ -79,6 +81,7 @@
         queue_length_per_slot=QUEUE_LENGTH_PER_SLOT,
         max_buffered_body_bytes=MAX_BUFFERED_RESPONSE_BYTES,
         link_bytes_per_s=link_bytes_per_s,
+        estimates_capacity=ESTIMATES_CAPACITY,
     )
 
 
--- a/src/ibiswick/_internal/model/fleet.py
+++ b/src/ibiswick/_internal/model/fleet.py
@@ -109,6 +109,9 @@
         self.started_at = -math.inf
         self.slow_factor = 1.0
         self.shed_share = 0.0
+        # Running calls above which the backend server slows down.
+        self.crowd_limit = math.inf
+        self.running = 0
         self.execution_count = 0
         # A dict keeps the order of their starts, so that a seed always gives the same run.
         self.tasks: dict[asyncio.Task[Any], None] = {}
@@ -174,6 +177,7 @@
             upload_idle_s=GIVE_UP_S,
             clock=clock,
             policy=build_admission_policy(names=NAMES, link_bytes_per_s=self.link_bytes_per_s),
+            rng=fleet.rng,
         )
 
     @property
@@ -286,6 +290,19 @@
         if fleet.rng.random() < self.shed_share:
             return ModelResponse(503, [*attempt_header, (NAMES.not_run, b"1")], b"")
         self.execution_count += 1
+        self.running += 1
+        try:
+            return await self._run_call(received, attempt, is_extra=is_extra)
+        finally:
+            self.running -= 1
+
+    async def _run_call(
+        self, received: ModelRequest, attempt: bytes, *, is_extra: bool
+    ) -> ModelResponse:
+        """Work on a call, make the calls that its kind makes, and respond."""
+        fleet = self.fleet
+        headers = dict(received.headers)
+        attempt_header = [(NAMES.attempt_id, attempt)]
         kind = fleet.load.kinds[received.path.strip("/")]
         work_s = self.draw_work_s(kind)
         deadline = (
@@ -312,6 +329,7 @@
         """Draw the time in seconds that the backend server works on a call."""
         service = self.fleet.load.services[self.service]
         work_s = kind.work_ms / 1000 * self.work_factor * self.slow_factor
+        work_s *= max(1.0, self.running / self.crowd_limit) ** 2
         if self.fleet.loop.time() - self.started_at < service.cold_s:
             work_s *= service.cold_factor
         # With this mean of the logarithm, the mean of the log-normal factor is 1.
@@ -513,6 +531,10 @@
             for vm in candidates:
                 vm.shed_share = event.share
                 self.loop.call_later(event.seconds, setattr, vm, "shed_share", 0.0)
+        elif event.kind == "crowd":
+            for vm in candidates:
+                vm.crowd_limit = event.factor
+                self.loop.call_later(event.seconds, setattr, vm, "crowd_limit", math.inf)
         elif event.kind == "slow":
             for vm in chosen:
                 vm.slow_factor = event.factor
--- a/src/ibiswick/_internal/model/loads.py
+++ b/src/ibiswick/_internal/model/loads.py
@@ -78,11 +78,13 @@
     * `burst`: callers make `factor` times as many calls.
     * `shed`: backend servers of `service` refuse a `share` of their calls.
     * `slow`: a `share` of the backend servers of `service` work `factor` times as long.
+    * `crowd`: backend servers of `service` slow down with the square of their running calls above
+      `factor`.
     * `down`: a `share` of all VMs, or of those of `service`, have no power; their backend servers
       are cold when they start again.
     """
 
-    kind: Literal["burst", "shed", "slow", "down"]
+    kind: Literal["burst", "shed", "slow", "crowd", "down"]
     at: float
     seconds: float
     service: str = ""
@@ -155,6 +157,6 @@
     for number, event in enumerate(load.events):
         if event.service and event.service not in load.services:
             found.append((f"events.{number}.service", "a known service", event.service))
-        if event.kind in ("shed", "slow") and not event.service:
+        if event.kind in ("shed", "slow", "crowd") and not event.service:
             found.append((f"events.{number}.service", "a service", "none"))
     return found
