--- a/src/ibiswick/_internal/direct/policies.py
+++ b/src/ibiswick/_internal/direct/policies.py
@@ -27,6 +27,8 @@
 RETRY_STATUSES = frozenset((500, 502, 503))
 # Bounds only the memory; targets and deadlines limit the wait for a slot.
 QUEUE_LENGTH_PER_SLOT = 8
+# See `AdmissionPolicy.estimates_capacity`.
+ESTIMATES_CAPACITY = True
 
 # Shares of the descriptors of the process that connections of each kind may use. The rest is for
 # connections to other nodes, the backend server and the object API, and for the ports themselves.
@@ -106,4 +108,5 @@
         queue_length_per_slot=QUEUE_LENGTH_PER_SLOT,
         max_buffered_body_bytes=MAX_BUFFERED_RESPONSE_BYTES,
         link_bytes_per_s=link_bytes_per_s,
+        estimates_capacity=ESTIMATES_CAPACITY,
     )
