Keep the platform's names for orders and heartbeats in the adapter

Cause: target_version and warmup_left are words of the platform's messages and stood outside platform/. Change: the product says new_version and slow_for_s.

--- a/src/ibiswick/_internal/calls/heads.py
+++ b/src/ibiswick/_internal/calls/heads.py
@@ -251,8 +251,8 @@
     Servers with an interface like CGI take underscores for hyphens, so a header with underscores
     would reach their applications as the one that the node has set.
 
-    >>> names = HeaderNames(credential=b"x-api-key")
-    >>> [_is_reserved(name, names) for name in (b"x-api-key", b"ibiswick-tenant")]
+    >>> names = HeaderNames(credential=b"x-secret")
+    >>> [_is_reserved(name, names) for name in (b"x-secret", b"ibiswick-tenant")]
     [True, True]
     >>> [_is_reserved(name, names) for name in (b"x-trace-id", b"my-ibiswick-id")]
     [False, False]
--- a/src/ibiswick/_internal/direct/instances.py
+++ b/src/ibiswick/_internal/direct/instances.py
@@ -29,7 +29,7 @@
     sequence: int
     version: str = ""
     # Seconds for which the backend server is still slow after its start, None if unknown.
-    warmup_left_s: float | None = None
+    slow_for_s: float | None = None
 
 
 class Departure(NamedTuple):
--- a/src/ibiswick/_internal/direct/rollouts.py
+++ b/src/ibiswick/_internal/direct/rollouts.py
@@ -258,8 +258,8 @@
     def _note_deleted(self, service: str, era: int, revision: int) -> None:
         """Note that an order was deleted; its service has no roll-out then."""
         known = self._stages.get(service)
-        if known is not None and known.target_version:
-            deleted = known._replace(target_version="", era=era, revision=revision, halted=False)
+        if known is not None and known.new_version:
+            deleted = known._replace(new_version="", era=era, revision=revision, halted=False)
             self._merge(deleted, self._clock(), source="platform")
 
     def _merge(self, stage: Stage, ordered_at: float, *, source: str) -> None:
@@ -283,7 +283,7 @@
         _log.info(
             "rollout-stage",
             service=stage.service,
-            version=stage.target_version or "-",
+            version=stage.new_version or "-",
             state=stage.state.value,
             share=stage.target_share,
             halted=stage.halted,
@@ -296,9 +296,9 @@
     def _publish_shares(self) -> None:
         """Publish the share of each version under a roll-out."""
         shares = {
-            service: VersionShare(item.target_version, item.target_share)
+            service: VersionShare(item.new_version, item.target_share)
             for service, item in self._stages.items()
-            if item.target_version and not self._is_over(item)
+            if item.new_version and not self._is_over(item)
         }
         self._board.version_shares.set(shares)
 
@@ -353,8 +353,8 @@
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Note until when the local backend server is slow after its start."""
         key = (heartbeat.instance, heartbeat.born)
-        if heartbeat.warmup_left_s is not None:
-            self._warm_at = self._clock() + heartbeat.warmup_left_s
+        if heartbeat.slow_for_s is not None:
+            self._warm_at = self._clock() + heartbeat.slow_for_s
         elif key != self._warm_key:
             self._warm_at = self._clock() + DEFAULT_WARMUP_S
         self._warm_key = key
@@ -410,17 +410,17 @@
         if instance is None:
             return "no-instance"
         stage = self._stages.get(instance.service)
-        if stage is not None and stage.target_version == instance.version:
+        if stage is not None and stage.new_version == instance.version:
             # Also after a roll-back: the check of each call then refuses it.
             known_s = self._clock() - self._changed_at[instance.service]
             return "ordered" if stage.target_share > 0 or known_s >= SPREAD_S else ""
-        if stage is not None and stage.target_version:
+        if stage is not None and stage.new_version:
             return "other-version-ordered"
         if self._clock() >= self._hold_ends_at:
             return "unanswered"
         has_read = await self._ask_for_order()
         stage = self._stages.get(instance.service)
-        is_ordered = stage is not None and bool(stage.target_version)
+        is_ordered = stage is not None and bool(stage.new_version)
         return "no-order" if has_read and not is_ordered else ""
 
     async def _ask_for_order(self) -> bool:
@@ -463,9 +463,9 @@
         if instance is None or self._board.holds_back.value:
             return instance is None
         stage = self._stages.get(instance.service)
-        if stage is None or not stage.target_version or self._is_over(stage):
+        if stage is None or not stage.new_version or self._is_over(stage):
             return True
-        if stage.target_version == instance.version:
+        if stage.new_version == instance.version:
             return stage.target_share > 0
         return stage.state is not RolloutState.COMPLETED
 
@@ -483,7 +483,7 @@
         if now - seconds < self._warm_at:
             return
         self._tally.note(route_id, seconds, failed=failed)
-        version = "target" if instance.version == stage.target_version else "other"
+        version = "target" if instance.version == stage.new_version else "other"
         result = f"{version}-{'failed' if failed else 'answered'}"
         self._counts.add("ibiswick_rollout_answers_total", "result", result)
 
@@ -505,7 +505,7 @@
         instance = self._board.instance.value
         stage = self._stages.get(instance.service) if instance is not None else None
         is_running = stage is not None and stage.state is RolloutState.RUNNING
-        return stage if is_running and stage is not None and stage.target_version else None
+        return stage if is_running and stage is not None and stage.new_version else None
 
     async def _wait_stages(self) -> None:
         """Wait until a stage or the local backend server changes."""
@@ -598,7 +598,7 @@
 
     def _note_report(self, report: Report) -> None:
         stage = self._stages.get(report.service)
-        if stage is not None and stage.target_version:
+        if stage is not None and stage.new_version:
             self._get_decider(stage).note_report(report, now=self._clock())
 
     async def _sync_forever(self) -> None:
@@ -618,7 +618,7 @@
         order = (stage.era, stage.order_revision)
         known = self._deciders.get(stage.service)
         if known is None or known[0] != order:
-            decider = StepDecider(target_version=stage.target_version, duration_s=stage.duration_s)
+            decider = StepDecider(new_version=stage.new_version, duration_s=stage.duration_s)
             known = self._deciders[stage.service] = (order, decider)
         return known[1]
 
@@ -628,7 +628,7 @@
             running = [
                 stage
                 for stage in self._stages.values()
-                if stage.state is RolloutState.RUNNING and stage.target_version
+                if stage.state is RolloutState.RUNNING and stage.new_version
             ]
             if not running:
                 self._deciders.clear()
@@ -651,7 +651,7 @@
         _log.info(
             "rollout-decided",
             service=stage.service,
-            version=stage.target_version,
+            version=stage.new_version,
             state=decision.state.value,
             share=decision.share,
             before=stage.share,
--- a/src/ibiswick/_internal/platform/registry.py
+++ b/src/ibiswick/_internal/platform/registry.py
@@ -57,7 +57,7 @@
         born=reader.read_integer(value, "born", 0),
         sequence=reader.read_integer(value, "sequence"),
         version=reader.read_optional_text(value, "version"),
-        warmup_left_s=(
+        slow_for_s=(
             reader.read_seconds(value, "warmup_left") if _has_field(value, "warmup_left") else None
         ),
     )
--- a/src/ibiswick/_internal/platform/rollouts.py
+++ b/src/ibiswick/_internal/platform/rollouts.py
@@ -21,7 +21,7 @@
         reader = FieldReader(key)
         stage = Stage(
             service=reader.read_text(spec, "service"),
-            target_version=reader.read_text(spec, "target_version"),
+            new_version=reader.read_text(spec, "target_version"),
             duration_s=reader.read_seconds(spec, "duration"),
             order_revision=revision,
             era=era,
@@ -34,7 +34,7 @@
         """Encode the status of a stage."""
         return {
             "state": stage.state.value,
-            "target_version": stage.target_version,
+            "target_version": stage.new_version,
             "share": stage.share,
             "order": stage.order_revision,
             "elapsed_ms": int(stage.elapsed_s * 1000),
@@ -43,7 +43,7 @@
 
 def _apply_status(stage: Stage, status: Any) -> Stage:
     """Apply a status that belongs to the order; any other is that of an earlier order."""
-    if not isinstance(status, dict) or status.get("target_version") != stage.target_version:
+    if not isinstance(status, dict) or status.get("target_version") != stage.new_version:
         return stage
     try:
         state = RolloutState(status.get("state"))
--- a/src/ibiswick/_internal/rollouts/evidence.py
+++ b/src/ibiswick/_internal/rollouts/evidence.py
@@ -172,8 +172,8 @@
 class Evidence:
     """Sum the reports of one service by version and route, and compare the two versions."""
 
-    def __init__(self, *, target_version: str) -> None:
-        self._target_version = target_version
+    def __init__(self, *, new_version: str) -> None:
+        self._new_version = new_version
         self._reports: dict[str, Report] = {}
         self._totals: Totals = {}
         self._open: Totals = {}
@@ -199,7 +199,7 @@
         )
         known = before.tallies if before is not None and is_same else {}
         self._reports[report.vm] = report
-        is_target = report.version == self._target_version
+        is_target = report.version == self._new_version
         for route, tally in report.tallies.items():
             delta = subtract(tally, known.get(route, NO_CALLS))
             if delta.calls > 0:
--- a/src/ibiswick/_internal/rollouts/records.py
+++ b/src/ibiswick/_internal/rollouts/records.py
@@ -24,11 +24,11 @@
     * `written`: the status has been written at least once.
     * `elapsed_s`: time from the order to the last write of the status.
 
-    An empty `target_version` marks an order that has been deleted.
+    An empty `new_version` marks an order that has been deleted.
     """
 
     service: str
-    target_version: str
+    new_version: str
     duration_s: float
     order_revision: int
     era: int
--- a/src/ibiswick/_internal/rollouts/steps.py
+++ b/src/ibiswick/_internal/rollouts/steps.py
@@ -110,10 +110,10 @@
     stage that the other one has written.
     """
 
-    def __init__(self, *, target_version: str, duration_s: float) -> None:
-        self._target_version = target_version
+    def __init__(self, *, new_version: str, duration_s: float) -> None:
+        self._new_version = new_version
         self._duration_s = duration_s
-        self.evidence = Evidence(target_version=target_version)
+        self.evidence = Evidence(new_version=new_version)
         self._reports: dict[str, tuple[Report, float]] = {}
         self._share = -1.0
         self._share_since = 0.0
@@ -144,8 +144,8 @@
 
     def _sum_up(self, now: float) -> Fleet:
         known = [item for item in self._reports.values() if now - item[1] < REPORT_MAX_AGE_S]
-        target = [(r, at) for r, at in known if r.version == self._target_version]
-        old = [(r, at) for r, at in known if r.version != self._target_version]
+        target = [(r, at) for r, at in known if r.version == self._new_version]
+        old = [(r, at) for r, at in known if r.version != self._new_version]
         warm = [report for report, _ in target if report.is_warm]
         self._warm_target = warm
         if old:
--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -100,7 +100,7 @@
     def run(self) -> Outcome:
         """Return the outcome at the deadline."""
         scenario = self.scenario
-        decider = StepDecider(target_version="v2", duration_s=scenario.duration_s)
+        decider = StepDecider(new_version="v2", duration_s=scenario.duration_s)
         stage = Stage("counter", "v2", scenario.duration_s, 1, 1, 1)
         # Stages that are on their way to the nodes: when they apply, and their shares.
         shares: list[tuple[float, float]] = [(0.0, 0.0)]
@@ -116,7 +116,7 @@
             now = tick * TICK_S
             if not was_killed and now >= scenario.decider_killed_at:
                 was_killed = True
-                decider = StepDecider(target_version="v2", duration_s=scenario.duration_s)
+                decider = StepDecider(new_version="v2", duration_s=scenario.duration_s)
                 next_decide = now + 1.0
             share = [value for at, value in shares if at <= now][-1]
             for _ in range(self._draw_calls()):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -139,7 +139,7 @@
     """Guard against backend servers that are recorded with a wrong state or number of slots."""
     beat = decode_beat(build_heartbeat_body(state="draining"))
     assert beat == Heartbeat(
-        "i-7f", "counter", 6, True, 1782054605000, 4, version="v1", warmup_left_s=1.5
+        "i-7f", "counter", 6, True, 1782054605000, 4, version="v1", slow_for_s=1.5
     )
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -162,7 +162,7 @@
 
 def test_a_repeated_report_counts_once_and_a_restart_loses_nothing() -> None:
     """Guard against evidence that counts calls twice, or drops those after a restart."""
-    evidence, tally = Evidence(target_version="v2"), CallTally()
+    evidence, tally = Evidence(new_version="v2"), CallTally()
     for _ in range(5):
         tally.note("r", 0.1, failed=False)
     evidence.note(build_report("v2", tally))
