Let VMs with fast links coordinate the limits of tenants

Cause: coordinators were drawn among all nodes.

Change: where link rates are known and at least three VMs have half of the fastest rate, only these coordinate.

--- a/src/ibiswick/_internal/direct/limits.py
+++ b/src/ibiswick/_internal/direct/limits.py
@@ -147,7 +147,8 @@
         seen = (members.version, len(members.records), is_listed)
         if seen != self._members_seen:
             self._members_seen = seen
-            self.node.update_members(members.records, is_complete=is_listed)
+            rates = {vm: record.link_bytes_per_s for vm, record in members.records.items()}
+            self.node.update_members(members.records, is_complete=is_listed, link_rates=rates)
 
     # Limiter
 
--- a/src/ibiswick/_internal/tenants/limitnode.py
+++ b/src/ibiswick/_internal/tenants/limitnode.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 from ..shared.records import UNLIMITED, TokenResult
 from .limit_messages import GrantItem, RequestItem, TokenGrant, TokenRequest
@@ -168,9 +169,15 @@
                 state.cache.limit = limit
                 state.cache.refused_at = state.cache.booked_at = -math.inf
 
-    def update_members(self, vms: Iterable[str], *, is_complete: bool) -> None:
+    def update_members(
+        self,
+        vms: Iterable[str],
+        *,
+        is_complete: bool,
+        link_rates: Mapping[str, int] = MappingProxyType({}),
+    ) -> None:
         """Apply the present members."""
-        self.ledger.update_members(vms, is_complete=is_complete)
+        self.ledger.update_members(vms, is_complete=is_complete, link_rates=link_rates)
 
     # Tokens for calls
 
--- a/src/ibiswick/_internal/tenants/rights.py
+++ b/src/ibiswick/_internal/tenants/rights.py
@@ -4,13 +4,17 @@
 
 import hashlib
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from .limit_messages import Loan, Stamp
 from .limits import LOAN_S, PARTITIONS
 
 COORDINATORS = 8
+# If this many VMs have a link of at least half the fastest rate, only they coordinate. On a slow
+# link that is full of bodies, datagrams are lost, and the tenants of its partitions are refused.
+MIN_FAST_VMS = 3
 # Covers clocks that run at different speeds.
 LOAN_MARGIN_S = 0.05
 # A coordinator that has not answered for this long is given up. Its loans end 1.05 s after its last
@@ -35,6 +39,18 @@
     return sorted(vms, key=lambda vm: (score(vm), vm))
 
 
+def find_fast_vms(vms: frozenset[str], link_rates: Mapping[str, int]) -> frozenset[str]:
+    """Return the VMs with fast links, or all of them if too few have one.
+
+    >>> rates = {"a": 100, "b": 60, "c": 100, "d": 10}
+    >>> ["".join(sorted(find_fast_vms(frozenset(vms), rates))) for vms in ("abcd", "ad")]
+    ['abc', 'ad']
+    """
+    fastest = max((link_rates.get(vm, 0) for vm in vms), default=0)
+    fast = frozenset(vm for vm in vms if link_rates.get(vm, 0) * 2 >= fastest)
+    return fast if fastest and len(fast) >= MIN_FAST_VMS else vms
+
+
 class SentLoan(NamedTuple):
     """Hold a loan that its coordinator may still use."""
 
@@ -82,6 +98,7 @@
         self._may_lend_at = started_at + LOAN_S + LOAN_MARGIN_S
         self._is_complete = False
         self._known: frozenset[str] = frozenset()
+        self._candidates: frozenset[str] = frozenset()
         self._coordinators: tuple[str, ...] = ()
         self._rankings: list[list[str]] = [[vm]] * PARTITIONS
         # None before the partitions are assigned for the present coordinators.
@@ -103,15 +120,22 @@
         """Tell whether this node may use or lend its rights."""
         return self._is_complete and now >= self._may_lend_at
 
-    def update_members(self, vms: Iterable[str], *, is_complete: bool) -> None:
-        """Choose the coordinators among the members."""
+    def update_members(
+        self,
+        vms: Iterable[str],
+        *,
+        is_complete: bool,
+        link_rates: Mapping[str, int] = MappingProxyType({}),
+    ) -> None:
+        """Choose the coordinators among the members, by their link rates where these are known."""
         known = frozenset((self._vm, *vms))
+        candidates = find_fast_vms(known, link_rates)
         self._is_complete = is_complete
-        if known == self._known:
+        if known == self._known and candidates == self._candidates:
             return
-        self._known = known
+        self._known, self._candidates = known, candidates
         self.nodes = len(known)
-        coordinators = tuple(rank_vms("coordinator", known)[:COORDINATORS])
+        coordinators = tuple(rank_vms("coordinator", candidates)[:COORDINATORS])
         if coordinators == self._coordinators:
             return
         self._coordinators = coordinators
