Name the control of reading pause and resume

Cause: hold_back and let_go are no usual terms for flow control. Change: names only. Result: the tests of buffers, serving and failures pass.

--- a/src/ibiswick/_internal/calls/connections.py
+++ b/src/ibiswick/_internal/calls/connections.py
@@ -418,7 +418,7 @@
             # Messages of the control plane have no such limit, and are never held back.
             buffers.sources.add(self)
             if buffers.is_over:
-                self.hold_back()
+                self.pause()
         if request.stream is not None:
             self._continue_waiter = self.loop.create_future() if request.await_continue else None
             self._sender = self.loop.create_task(self._send(request.stream, request.chunked))
@@ -555,12 +555,12 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def hold_back(self) -> None:
-        """Stop reading until `let_go`, unless the response is being read."""
+    def pause(self) -> None:
+        """Stop reading until `resume`, unless the response is being read."""
         if self._response is not None and not self._response.has_head:
             self.pause_reading()
 
-    def let_go(self) -> None:
+    def resume(self) -> None:
         """Read again, unless the reader of the response has to catch up."""
         if self._response is not None and not self._response.has_head:
             self.resume_reading()
--- a/src/ibiswick/_internal/calls/pressure.py
+++ b/src/ibiswick/_internal/calls/pressure.py
@@ -40,10 +40,10 @@
 class Source(Protocol):
     """Deliver bytes that the process has to buffer."""
 
-    def hold_back(self) -> None:
-        """Stop reading until `let_go`, unless a reader makes room."""
+    def pause(self) -> None:
+        """Stop reading until `resume`, unless a reader makes room."""
 
-    def let_go(self) -> None:
+    def resume(self) -> None:
         """Read again."""
 
 
@@ -156,9 +156,9 @@
             self._holds_back = ledger.is_over
             for source in list(self.sources):
                 if self._holds_back:
-                    source.hold_back()
+                    source.pause()
                 else:
-                    source.let_go()
+                    source.resume()
 
     def _start_sweeper(self) -> None:
         if self._sweeper is None:
--- a/src/ibiswick/_internal/calls/serving.py
+++ b/src/ibiswick/_internal/calls/serving.py
@@ -627,7 +627,7 @@
             return
         receiving = self._receiving
         pause = bool(self._waiting or self._unparsed) or (
-            receiving is not None and (receiving.is_backed_up or self._must_hold_back())
+            receiving is not None and (receiving.is_backed_up or self._must_pause())
         )
         if pause is self._reading_paused:
             return
@@ -637,7 +637,7 @@
         else:
             self._transport.resume_reading()
 
-    def _must_hold_back(self) -> bool:
+    def _must_pause(self) -> bool:
         """Tell whether a body that is arriving has to wait until the process holds less."""
         buffers = self._listener.buffers
         if not buffers.is_over or not self._account.held_bytes:
@@ -645,11 +645,11 @@
         buffers.sources.add(self)
         return True
 
-    def hold_back(self) -> None:
-        """Stop reading until `let_go`."""
+    def pause(self) -> None:
+        """Stop reading until `resume`."""
         self.update_reading()
 
-    def let_go(self) -> None:
+    def resume(self) -> None:
         """Read again."""
         self._listener.buffers.sources.discard(self)
         self.update_reading()
