--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/play.py"
