Review: show that a departure is forgotten in a drill of the store

Cause: in a later era of the store, a node that starts asks two others for its earlier record. If all have started, the record of the copy counts as known, and the backend server is used without a heartbeat.

The stand-in of the store can be restored from a copy; an error of a case is no verdict.

--- a/review/standins-2/mesh2.py
+++ b/review/standins-2/mesh2.py
@@ -156,6 +156,19 @@
         self._wake()
         return self.revision
 
+    def make_copy(self) -> tuple[str, int]:
+        """Return a copy from which the store can be restored."""
+        return json.dumps(self.objects), self.revision
+
+    def restore(self, copy: tuple[str, int]) -> None:
+        """Come back from a copy: what was written since is gone, and the era rises by one."""
+        text, self.revision = copy
+        self.objects = json.loads(text)
+        self.events = [event for event in self.events if event[0] <= self.revision]
+        self.era += 1
+        self._record.note("store-restored", era=self.era, revision=self.revision)
+        self._wake()
+
     # Called by nodes
 
     async def _serve(
@@ -684,7 +697,8 @@
         try:
             async with asyncio.timeout(limit_s):
                 return await play(mesh)
-        except (CaseError, TimeoutError, OSError) as error:
+        except Exception as error:
+            # Also an error of the case itself is no verdict.
             mesh.record.note("case-failed", error=repr(error))
             print(f"the case could not run: {error!r}", file=sys.stderr)
             return NOT_RUN
