--- a/review/10/play.py
+++ b/review/10/play.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-2"))
+sys.path.insert(0, str(FOLDER.parent))
 from mesh2 import BROKEN, HELD, Backend, CaseError, Node, run_case  # noqa: E402
 
 RULES = [
@@ -27,7 +27,7 @@
 
 
 async def play(mesh) -> int:
-    zones = ("ege-bir", "ege-iki", "ege-uc")
+    zones = ("pannon-a", "pannon-b", "pannon-c")
     mesh.nodes = [Node(mesh, number, zones[number % 3], "counter") for number in range(1, 6)]
     mesh.backends = [Backend(mesh, node, capacity=3, work_s=0.05) for node in mesh.nodes]
     mesh.write_configuration(RULES, ["counter"], 12)
@@ -51,7 +51,7 @@
     if mesh.trouble:
         # The drill: the store is away for a moment and comes back from the copy. All processes are
         # killed meanwhile.
-        mesh.store.set_down("busy")
+        mesh.store.set_down("reset")
         for node in mesh.nodes:
             node.send_signal(signal.SIGKILL)
         await asyncio.sleep(AWAY_S)
--- a/review/6/play.py
+++ b/review/6/play.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-2"))
+sys.path.insert(0, str(FOLDER.parent))
 from mesh2 import BROKEN, HELD, Backend, CaseError, Node, run_case  # noqa: E402
 
 RULES = [
@@ -25,7 +25,7 @@
 
 
 async def play(mesh) -> int:
-    zones = ("ege-bir", "ege-iki", "ege-uc")
+    zones = ("pannon-a", "pannon-b", "pannon-c")
     mesh.nodes = [Node(mesh, number, zones[number % 3], "counter") for number in range(1, 6)]
     mesh.backends = [Backend(mesh, node, capacity=3, work_s=0.05) for node in mesh.nodes]
     mesh.write_configuration(RULES, ["counter"], 12)
@@ -40,7 +40,7 @@
     await asyncio.sleep(4.0)
     leaving, node = mesh.backends[0], mesh.nodes[0]
     if mesh.trouble:
-        mesh.store.set_down("busy")
+        mesh.store.set_down("reset")
     await asyncio.sleep(1.0)
     # Planned: the backend leaves, and its node is stopped and started again.
     exit_task = asyncio.create_task(leaving.leave(serves_s=STAY_S))
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 is needed"'
-for file in review/standins-2/mesh2.py review/[6-9]/play.py review/10/play.py; do
+for file in review/mesh2.py review/[6-9]/play.py review/10/play.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
 if [ ! -d target/deps/ibiswick ]; then
--- a/review/standins-2/mesh2.py
+++ b/review/mesh2.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -20,9 +21,10 @@
 import urllib.parse
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "shop.example"
-READY, CALLER, PEER, ADMIN, APP = 8140, 8141, 8145, 8146, 8147
+# Ports of the listeners of a machine, then two for messages between nodes.
+PORT_COUNT = 7
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -30,6 +32,25 @@
     """The case could not run."""
 
 
+def find_free_ports() -> list[int]:
+    """Return ports in a row, below those for outgoing connections, that nobody listens on."""
+    for _ in range(100):
+        first = random.randrange(20_000, 30_000)
+        ports = list(range(first, first + PORT_COUNT))
+        try:
+            for port in ports:
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return ports
+    raise CaseError("no free ports were found")
+
+
+# Ports are the same on all machines of a run.
+READY, CALLER, PEER, ADMIN, APP, *INTERNAL = find_free_ports()
+
+
 class Record:
     """Write what was sent, answered and run, with seconds since the start of the case."""
 
@@ -290,8 +311,8 @@
 serves = ["sidecar"]
 ip = "{host}"
 zone = "{self.zone}"
-region = "ege"
-internal_ports = [7660,7675]
+region = "pannon"
+internal_ports = {json.dumps(INTERNAL)}
 seeds = []
 bootstrap = {"true" if not self.starts else "false"}
 loss_counts = false
@@ -326,7 +347,7 @@
 outer = "5000ms"
 retry_budget_ratio = 0.2
 budget_window = "10s"
-budget_slack = 64
+budget_slack = 56
 recover = "15s"
 [platform]
 address = "{store.host}:{self.store_port}"
